--- /dev/null
+++ b/internal/bundle/sign.go
@@ -0,0 +1,101 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+)
+
+// Release is a signed version ready to be published.
+type Release struct {
+	manifest *platform.Manifest
+	blobs    [][]byte
+}
+
+// Manifest returns the signed manifest.
+func (r Release) Manifest() *platform.Manifest { return r.manifest }
+
+// Blobs returns the content of the manifest's parts, in their order.
+func (r Release) Blobs() [][]byte { return r.blobs }
+
+// Sign splits a bundle and signs it off.
+func Sign(b *schema.Bundle, key ed25519.PrivateKey) (Release, error) {
+	parts, blobs, err := Split(b)
+	if err != nil {
+		return Release{}, fmt.Errorf("split version %d: %w", b.GetVersion(), err)
+	}
+	m := platform.NewManifest(b.GetVersion(), parts).Sign(key)
+	return Release{manifest: m, blobs: blobs}, nil
+}
+
+// EncodeManifest writes a manifest as a platform's value.
+func EncodeManifest(m *platform.Manifest) ([]byte, error) {
+	out := schema.Manifest_builder{
+		Version:   proto.Uint64(m.Version().Number()),
+		Signer:    m.Signer(),
+		Signature: m.Signature(),
+		Parts:     EncodeParts(m.Parts()),
+	}.Build()
+	data, err := proto.Marshal(out)
+	if err != nil {
+		return nil, fmt.Errorf("encode manifest: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeManifest reads a manifest from a platform's value.
+func DecodeManifest(data []byte) (*platform.Manifest, error) {
+	in := &schema.Manifest{}
+	if err := proto.Unmarshal(data, in); err != nil {
+		return nil, fmt.Errorf("decode manifest: %w", err)
+	}
+	m := platform.NewManifest(in.GetVersion(), DecodeParts(in.GetParts()))
+	return m.Signed(in.GetSigner(), in.GetSignature()), nil
+}
+
+// EncodeParts converts a list of parts to messages.
+func EncodeParts(parts []platform.Part) []*schema.Part {
+	out := make([]*schema.Part, 0, len(parts))
+	for _, p := range parts {
+		digest := p.Digest()
+		out = append(out, schema.Part_builder{
+			Name:   proto.String(p.Name()),
+			Digest: digest[:],
+			Size:   proto.Uint32(uint32(p.Size())),
+		}.Build())
+	}
+	return out
+}
+
+// DecodeParts converts messages to a list of parts.
+func DecodeParts(in []*schema.Part) []platform.Part {
+	parts := make([]platform.Part, 0, len(in))
+	for _, p := range in {
+		parts = append(parts, platform.NewPart(p.GetName(), platform.DigestFrom(p.GetDigest()), int(p.GetSize())))
+	}
+	return parts
+}
+
+// ParsePublic reads a public key in hex.
+func ParsePublic(text string) (ed25519.PublicKey, error) {
+	b, err := hex.DecodeString(strings.TrimSpace(text))
+	if err != nil || len(b) != ed25519.PublicKeySize {
+		return nil, fmt.Errorf("public key: %w", ErrKey)
+	}
+	return b, nil
+}
+
+// ParsePrivate reads the seed of a private key in hex.
+func ParsePrivate(text string) (ed25519.PrivateKey, error) {
+	b, err := hex.DecodeString(strings.TrimSpace(text))
+	if err != nil || len(b) != ed25519.SeedSize {
+		return nil, fmt.Errorf("private key: %w", ErrKey)
+	}
+	return ed25519.NewKeyFromSeed(b), nil
+}
--- /dev/null
+++ b/internal/peerquic/counters.go
@@ -0,0 +1,36 @@
+package peerquic
+
+import "sync/atomic"
+
+// counters count the bytes of messages, of control and of calls apart.
+type counters struct {
+	controlIn, controlOut atomic.Int64
+	callIn, callOut       atomic.Int64
+}
+
+func (c *counters) add(call bool, in, out int) {
+	if call {
+		c.callIn.Add(int64(in))
+		c.callOut.Add(int64(out))
+		return
+	}
+	c.controlIn.Add(int64(in))
+	c.controlOut.Add(int64(out))
+}
+
+// Traffic is the bytes of messages since the start, bodies left out.
+type Traffic struct {
+	controlIn, controlOut, callIn, callOut int64
+}
+
+// ControlIn returns the bytes of control messages received.
+func (t Traffic) ControlIn() int64 { return t.controlIn }
+
+// ControlOut returns the bytes of control messages sent.
+func (t Traffic) ControlOut() int64 { return t.controlOut }
+
+// CallIn returns the bytes of call heads received.
+func (t Traffic) CallIn() int64 { return t.callIn }
+
+// CallOut returns the bytes of call heads sent.
+func (t Traffic) CallOut() int64 { return t.callOut }
--- /dev/null
+++ b/internal/peerquic/serve.go
@@ -0,0 +1,56 @@
+package peerquic
+
+import (
+	"context"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/lycheehead/lycheehead/internal/schema"
+)
+
+// Serve hands the requests of other daemons to h until the mesh is closed.
+func (m *Mesh) Serve(h Handler) {
+	m.group.Go(func() {
+		for {
+			conn, err := m.listener.Accept(m.quit)
+			if err != nil {
+				return
+			}
+			m.group.Go(func() { m.serveConn(conn, h) })
+		}
+	})
+}
+
+func (m *Mesh) serveConn(conn *quic.Conn, h Handler) {
+	from := peerName(conn)
+	for {
+		s, err := conn.AcceptStream(m.quit)
+		if err != nil {
+			return
+		}
+		m.group.Go(func() { m.serveStream(from, newStream(s, &m.count), h) })
+	}
+}
+
+func (m *Mesh) serveStream(from string, s *Stream, h Handler) {
+	r := &schema.Request{}
+	n, err := readMessage(s.reader, r)
+	s.call = r.HasCall()
+	m.count.add(s.call, n, 0)
+	if err != nil || r.WhichKind() == 0 {
+		s.Abort()
+		return
+	}
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	h.ServePeer(ctx, from, r, s)
+}
+
+// peerName returns the slot that the other side proved to be.
+func peerName(conn *quic.Conn) string {
+	certificates := conn.ConnectionState().TLS.PeerCertificates
+	if len(certificates) == 0 {
+		return ""
+	}
+	return certificates[0].Subject.CommonName
+}
--- /dev/null
+++ b/internal/peerquic/stream.go
@@ -0,0 +1,90 @@
+package peerquic
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/lycheehead/lycheehead/internal/schema"
+)
+
+// aborted is the code of a stream that was given up.
+const aborted quic.StreamErrorCode = 1
+
+// Stream is one request and its answer, from either side.
+type Stream struct {
+	stream *quic.Stream
+	reader *bufio.Reader
+	count  *counters
+	call   bool
+}
+
+func newStream(s *quic.Stream, count *counters) *Stream {
+	return &Stream{stream: s, reader: bufio.NewReaderSize(s, readSize), count: count}
+}
+
+// Context ends when the other side gives the stream up or is lost.
+func (s *Stream) Context() context.Context { return s.stream.Context() }
+
+// SendAnswer writes an answer's message.
+func (s *Stream) SendAnswer(a *schema.Answer) error {
+	n, err := writeMessage(s.stream, a)
+	s.count.add(s.call, 0, n)
+	if err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	return nil
+}
+
+// ReadAnswer reads the next answer's message.
+func (s *Stream) ReadAnswer() (*schema.Answer, error) {
+	a := &schema.Answer{}
+	n, err := readMessage(s.reader, a)
+	s.count.add(s.call, n, 0)
+	if err != nil {
+		return nil, fmt.Errorf("answer: %w", err)
+	}
+	return a, nil
+}
+
+// Read reads the body that follows the messages.
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.reader.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // readers return io.EOF itself
+		return n, fmt.Errorf("read body: %w", err)
+	}
+	return n, err
+}
+
+// Write writes the body.
+func (s *Stream) Write(p []byte) (int, error) {
+	n, err := s.stream.Write(p)
+	if err != nil {
+		return n, fmt.Errorf("write body: %w", err)
+	}
+	return n, nil
+}
+
+// CloseSend ends what this side sends: the body is whole.
+func (s *Stream) CloseSend() error {
+	if err := s.stream.Close(); err != nil {
+		return fmt.Errorf("end stream: %w", err)
+	}
+	return nil
+}
+
+// Abort gives up both directions. The other side sees an error, not an end.
+func (s *Stream) Abort() {
+	s.stream.CancelWrite(aborted)
+	s.stream.CancelRead(aborted)
+}
+
+// StopReading tells the other side that the rest of its body is not wanted.
+func (s *Stream) StopReading() { s.stream.CancelRead(aborted) }
+
+// Hurry makes blocked reads return at an instant.
+func (s *Stream) Hurry(at time.Time) { _ = s.stream.SetReadDeadline(at) }
--- /dev/null
+++ b/pkg/caller/claims.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/table"
+)
+
+// skew is how far clocks of callers and daemons may differ.
+const skew = time.Second
+
+// Vote is a holder's answer to a claim.
+type Vote uint8
+
+// The votes.
+const (
+	// Abstain: the holder may have forgotten the key.
+	Abstain Vote = iota
+	// Granted: the attempt may run as far as this holder knows.
+	Granted
+	// Pending: another attempt has claimed the key.
+	Pending
+	// HasRun: another attempt ran.
+	HasRun
+	// Unsure: it is not known whether another attempt ran.
+	Unsure
+)
+
+// Attempt names one try of a request that must run once.
+type Attempt struct {
+	customer, key, id string
+}
+
+// NewAttempt returns the attempt with an identity of its own.
+func NewAttempt(customer, key, id string) Attempt {
+	return Attempt{customer: customer, key: key, id: id}
+}
+
+// Customer returns the customer's name.
+func (a Attempt) Customer() string { return a.customer }
+
+// Key returns the idempotency key.
+func (a Attempt) Key() string { return a.key }
+
+// ID returns the attempt's own identity.
+func (a Attempt) ID() string { return a.id }
+
+// recordKey names a record: keys of different customers never meet.
+type recordKey struct {
+	customer, key string
+}
+
+type record struct {
+	attempt string
+	vote    Vote
+	end     time.Time
+}
+
+// Claims holds the records that this daemon is a holder of. Make one with
+// NewClaims.
+type Claims struct {
+	start   time.Time
+	records *table.Table[recordKey, record]
+}
+
+// NewClaims returns the empty records of a daemon that starts now.
+func NewClaims(now time.Time) *Claims {
+	return &Claims{start: now, records: table.New[recordKey, record](lock.Claims)}
+}
+
+// Claim asks to run an attempt.
+func (c *Claims) Claim(now time.Time, p platform.Policy, a Attempt) Vote {
+	vote := Abstain
+	key := recordKey{customer: a.customer, key: a.key}
+	c.records.Update(key, func(r record, ok bool) (record, bool) {
+		if ok && now.Before(r.end) {
+			vote = r.answer(a.id)
+			return r, true
+		}
+		if !c.remembers(now, p, a.key) {
+			return record{}, false
+		}
+		vote = Granted
+		return record{attempt: a.id, vote: Pending, end: now.Add(p.Retention())}, true
+	})
+	return vote
+}
+
+func (r record) answer(attempt string) Vote {
+	if r.attempt == attempt && r.vote == Pending {
+		return Granted
+	}
+	return r.vote
+}
+
+// remembers says whether this daemon would know of an earlier claim of key.
+func (c *Claims) remembers(now time.Time, p platform.Policy, key string) bool {
+	if now.Sub(c.start) >= p.Distrust() {
+		return true
+	}
+	made, ok := madeAt(key)
+	return ok && made.After(c.start.Add(skew)) && made.Before(now.Add(skew))
+}
+
+// madeAt returns the instant in a key that is a UUIDv7.
+func madeAt(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	return time.Unix(id.Time().UnixTime()), true
+}
+
+// Settle notes how an attempt ended. A request that did not run frees its key.
+func (c *Claims) Settle(now time.Time, p platform.Policy, a Attempt, o Outcome) {
+	key := recordKey{customer: a.customer, key: a.key}
+	c.records.Update(key, func(r record, ok bool) (record, bool) {
+		if ok && r.attempt != a.id {
+			return r, true
+		}
+		switch o {
+		case NotRun:
+			return record{}, false
+		case Ran:
+			return record{attempt: a.id, vote: HasRun, end: now.Add(p.Retention())}, true
+		}
+		return record{attempt: a.id, vote: Unsure, end: now.Add(p.Retention())}, true
+	})
+}
+
+// Sweep forgets the records that have ended.
+func (c *Claims) Sweep(now time.Time) {
+	c.records.Sweep(func(_ recordKey, r record) bool { return now.Before(r.end) })
+}
+
+// Len returns the number of records.
+func (c *Claims) Len() int { return c.records.Len() }
--- /dev/null
+++ b/pkg/caller/holders.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+)
+
+// holders is how many slots keep the record of one key.
+const holders = 3
+
+// Electorate is the slots that may be holders under one version.
+type Electorate struct {
+	centres []string
+	slots   map[string][]string
+}
+
+// NewElectorate returns the electorate of a version. Slots out of service
+// belong to it, so that taking a data centre out moves no record.
+func NewElectorate(cfg *platform.Config) *Electorate {
+	e := &Electorate{slots: make(map[string][]string)}
+	for _, b := range cfg.Backends() {
+		if c, _ := cfg.Centre(b.Centre()); !c.Lost() {
+			e.slots[b.Centre()] = append(e.slots[b.Centre()], b.Name())
+		}
+	}
+	for name, slots := range e.slots {
+		e.centres = append(e.centres, name)
+		slices.Sort(slots)
+	}
+	slices.Sort(e.centres)
+	return e
+}
+
+func (e *Electorate) equal(f *Electorate) bool {
+	if !slices.Equal(e.centres, f.centres) {
+		return false
+	}
+	for _, name := range e.centres {
+		if !slices.Equal(e.slots[name], f.slots[name]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Holders returns the holders of a customer's key: one in each of three data
+// centres, or more to a data centre where there are fewer.
+func (e *Electorate) Holders(customer, key string) []string {
+	seed := customer + "\x00" + key
+	centres := peer.Rank(seed, e.centres)
+	ranked := make([][]string, len(centres))
+	for i, name := range centres {
+		ranked[i] = peer.Top(seed, e.slots[name], holders)
+	}
+	var names []string
+	for round := range holders {
+		for _, slots := range ranked {
+			if round < len(slots) && len(names) < holders {
+				names = append(names, slots[round])
+			}
+		}
+	}
+	return names
+}
+
+// generation is an electorate and when its records have ended.
+type generation struct {
+	electorate *Electorate
+	end        time.Time
+}
+
+// Electorates follows the electorate from version to version. Make one with
+// NewElectorates.
+type Electorates struct {
+	// mu, of rank lock.Claims, guards what follows.
+	mu      *lock.Mutex
+	current *Electorate
+	past    []generation
+}
+
+// NewElectorates returns the follower before the first version.
+func NewElectorates() *Electorates {
+	return &Electorates{mu: lock.New(lock.Claims)}
+}
+
+// Adopt takes over a version. Records under the electorate before are asked
+// for until they have ended.
+func (e *Electorates) Adopt(now time.Time, cfg *platform.Config) {
+	next := NewElectorate(cfg)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current != nil && !e.current.equal(next) {
+		end := now.Add(cfg.Policy().Retention())
+		e.past = append(e.past, generation{electorate: e.current, end: end})
+	}
+	if e.current == nil || !e.current.equal(next) {
+		e.current = next
+	}
+}
+
+// Groups returns the groups of holders of which a claim needs a majority each.
+func (e *Electorates) Groups(now time.Time, customer, key string) [][]string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current == nil {
+		return nil
+	}
+	e.past = slices.DeleteFunc(e.past, func(g generation) bool { return !now.Before(g.end) })
+	groups := [][]string{e.current.Holders(customer, key)}
+	for _, g := range e.past {
+		group := g.electorate.Holders(customer, key)
+		if !slices.Equal(group, groups[0]) {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
--- /dev/null
+++ b/pkg/caller/tally.go
@@ -0,0 +1,101 @@
+package caller
+
+// Ruling is what the votes on a claim come to.
+type Ruling uint8
+
+// The rulings.
+const (
+	// Open: more votes are needed.
+	Open Ruling = iota
+	// Won: the attempt may be sent to one backend server at a time.
+	Won
+	// Lost: another attempt has the key, or too few holders vouch for it.
+	Lost
+)
+
+// Tally counts the votes on a claim over all groups of holders. It belongs to
+// one goroutine.
+type Tally struct {
+	groups [][]string
+	votes  map[string]Vote
+	failed map[string]bool
+}
+
+// NewTally returns the tally of a claim before the first vote.
+func NewTally(groups [][]string) *Tally {
+	return &Tally{groups: groups, votes: make(map[string]Vote), failed: make(map[string]bool)}
+}
+
+// Voters returns each holder once.
+func (t *Tally) Voters() []string {
+	seen := make(map[string]bool)
+	var names []string
+	for _, group := range t.groups {
+		for _, name := range group {
+			if !seen[name] {
+				seen[name] = true
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
+
+// Voted notes a holder's vote.
+func (t *Tally) Voted(holder string, v Vote) { t.votes[holder] = v }
+
+// Failed notes that a holder could not be reached.
+func (t *Tally) Failed(holder string) { t.failed[holder] = true }
+
+// Ruling returns what the votes so far come to. A claim is won with a majority
+// of every group and no word of another attempt, and lost as soon as that
+// cannot come about any more.
+func (t *Tally) Ruling() Ruling {
+	if t.Taken() != Granted {
+		return Lost
+	}
+	if len(t.groups) == 0 {
+		return Lost
+	}
+	ruling := Won
+	for _, group := range t.groups {
+		granted, open := t.count(group)
+		need := len(group)/2 + 1
+		switch {
+		case granted >= need:
+		case granted+open >= need:
+			ruling = Open
+		default:
+			return Lost
+		}
+	}
+	return ruling
+}
+
+func (t *Tally) count(group []string) (granted, open int) {
+	for _, name := range group {
+		v, voted := t.votes[name]
+		switch {
+		case voted && v == Granted:
+			granted++
+		case !voted && !t.failed[name]:
+			open++
+		}
+	}
+	return granted, open
+}
+
+// Taken returns what is known of another attempt: HasRun, Unsure or Pending, or
+// Granted where no holder told of one.
+func (t *Tally) Taken() Vote {
+	taken := Granted
+	for _, v := range t.votes {
+		switch {
+		case v == HasRun:
+			return HasRun
+		case v == Unsure, v == Pending && taken == Granted:
+			taken = v
+		}
+	}
+	return taken
+}
--- /dev/null
+++ b/pkg/lock/order.go
@@ -0,0 +1,33 @@
+package lock
+
+// Rank is a lock's place in the order: a lower rank is taken first.
+type Rank uint8
+
+// The lock order of the whole code base. Two locks of the same rank, such as
+// two shards of one table, are never held together.
+const (
+	// Start guards the decision that ends a daemon's start.
+	Start Rank = iota + 1
+	// Store guards the adoption of a version.
+	Store
+	// Members guards the membership view.
+	Members
+	// Purses guards the purses that this daemon keeps.
+	Purses
+	// Wallets guards the tokens that this daemon has borrowed.
+	Wallets
+	// Claims guards the records of requests that run once.
+	Claims
+	// Budgets guards the retry budgets.
+	Budgets
+	// Calls guards the calls that run at the backend server.
+	Calls
+	// Gate guards the admission queue.
+	Gate
+	// Quarantine guards the requests that are held after deaths.
+	Quarantine
+	// Routes guards what the router knows of backend servers.
+	Routes
+	// Links guards the connections to other daemons.
+	Links
+)
