--- /dev/null
+++ b/cmd/lycheehead/load.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lycheehead/lycheehead/internal/load"
+)
+
+type loadCommand struct {
+	Plan string `arg:"" type:"existingfile" help:"The plan, in YAML."`
+	Out  string `short:"o" help:"File to which the report is appended as a JSON line."`
+}
+
+// Run drives a plan; its exit code is 5 where a promise was broken.
+func (c *loadCommand) Run() error {
+	plan, err := load.ReadPlan(c.Plan)
+	if err != nil {
+		return withCode(exitInvalid, "%w", err)
+	}
+	report, err := load.NewRunner(plan).Run(context.Background())
+	if err != nil {
+		return fmt.Errorf("load: %w", err)
+	}
+	fmt.Print(load.Table(report))
+	if c.Out != "" {
+		line := protojson.MarshalOptions{UseProtoNames: true}.Format(report) + "\n"
+		if err := appendTo(c.Out, line); err != nil {
+			return err
+		}
+	}
+	if n := load.Broken(report); n > 0 {
+		return withCode(exitBroken, "%d promises were broken", n)
+	}
+	return nil
+}
+
+func appendTo(path, line string) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	if _, err := f.WriteString(line); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/publish.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/lycheehead/lycheehead/internal/platformhttp"
+)
+
+var errRefused = errors.New("platform refused")
+
+type publishCommand struct {
+	To        string `required:"" help:"The stand-in platform's address."`
+	Release   string `help:"Folder of a signed bundle."`
+	Instances string `help:"File with an instance list in JSON."`
+	Mode      string `help:"How the platform answers from now on: ok, away, slow or stale."`
+}
+
+// Run publishes parts before the head that names them.
+func (c *publishCommand) Run() error {
+	if c.Mode != "" {
+		if err := c.put("mode?mode="+c.Mode, nil); err != nil {
+			return err
+		}
+	}
+	if c.Instances != "" {
+		data, err := os.ReadFile(c.Instances)
+		if err != nil {
+			return fmt.Errorf("publish: %w", err)
+		}
+		if err := c.put("instances", data); err != nil {
+			return err
+		}
+	}
+	if c.Release != "" {
+		return c.release()
+	}
+	return nil
+}
+
+func (c *publishCommand) release() error {
+	paths, err := filepath.Glob(filepath.Join(c.Release, "part-*"))
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	for _, path := range paths {
+		digest := strings.TrimPrefix(filepath.Base(path), "part-")
+		if err := c.file(path, platformhttp.PartPrefix+digest); err != nil {
+			return err
+		}
+	}
+	return c.file(filepath.Join(c.Release, "head"), platformhttp.HeadKey)
+}
+
+func (c *publishCommand) file(path, key string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	return c.put("values/"+key, data)
+}
+
+func (c *publishCommand) put(path string, data []byte) error {
+	req, err := http.NewRequest(http.MethodPut, "http://"+c.To+"/admin/"+path, bytes.NewReader(data))
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("publish %s: %w: %s", path, errRefused, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/adminhttp/doc.go
@@ -0,0 +1,3 @@
+// Package adminhttp serves operators over HTTP: /status, /metrics and /ready.
+// All are read only.
+package adminhttp
--- /dev/null
+++ b/internal/adminhttp/handler.go
@@ -0,0 +1,74 @@
+package adminhttp
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/lycheehead/lycheehead/internal/daemon"
+	"github.com/lycheehead/lycheehead/internal/schema"
+)
+
+const (
+	service    = "admin"
+	askTimeout = 5 * time.Second
+	answerMost = 64 << 20
+)
+
+// NewHandler returns the handler that tells of a daemon.
+func NewHandler(d *daemon.Daemon) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { status(w, d) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) { ready(w, d) })
+	mux.Handle("GET /metrics", d.Metrics())
+	return mux
+}
+
+func status(w http.ResponseWriter, d *daemon.Daemon) {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, Multiline: true}.Marshal(d.Status())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+func ready(w http.ResponseWriter, d *daemon.Daemon) {
+	if !d.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// Ask reads the status of the daemon whose admin address is given.
+func Ask(ctx context.Context, address string) (*schema.Status, error) {
+	breaker.NoBreakerFor(service)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	resp, err := httpc.NewService(service).DoRequest(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask daemon: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	if err != nil {
+		return nil, fmt.Errorf("read status: %w", err)
+	}
+	s := &schema.Status{}
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("decode status: %w", err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/callerhttp/server.go
@@ -0,0 +1,119 @@
+package callerhttp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+)
+
+const (
+	// headerTimeout bounds how long a caller may take to send a request's head.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Server is an HTTP server on one address. Make one with Listen.
+type Server struct {
+	rest  *rest.Server
+	mu    sync.Mutex
+	http  *http.Server
+	ready chan struct{}
+	once  sync.Once
+}
+
+// Listen starts to serve handler at an IP and port. name is for the library's
+// own use.
+func Listen(name, address string, handler http.Handler) (*Server, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("listen at %q: %w", address, err)
+	}
+	// The library's server ends the process where its address is taken, so that
+	// is tried before.
+	probe, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	if err := probe.Close(); err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	r, err := rest.NewServer(conf(name, at), rest.WithRouter(&router{handler: handler}))
+	if err != nil {
+		return nil, fmt.Errorf("make server: %w", err)
+	}
+	s := &Server{rest: r, ready: make(chan struct{})}
+	go r.StartWithOpts(s.take)
+	<-s.ready
+	return s, nil
+}
+
+// conf turns off what the library would decide for itself. Timeouts, breaking
+// off, shedding and the sizes of bodies are decisions of the daemon, and a
+// body must not be buffered; its logs and traces might hold keys.
+func conf(name string, at netip.AddrPort) rest.RestConf {
+	return rest.RestConf{
+		ServiceConf: service.ServiceConf{Name: name, Mode: service.ProMode},
+		Host:        at.Addr().String(),
+		Port:        int(at.Port()),
+		Middlewares: rest.MiddlewaresConf{},
+	}
+}
+
+// take keeps the library's inner server, to stop it in time.
+func (s *Server) take(inner *http.Server) {
+	inner.ReadHeaderTimeout = headerTimeout
+	inner.IdleTimeout = idleTimeout
+	s.mu.Lock()
+	s.http = inner
+	s.mu.Unlock()
+	s.once.Do(func() { close(s.ready) })
+}
+
+// Shutdown stops taking connections and waits for the requests that run, until
+// ctx ends; then it closes their connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	inner := s.http
+	s.mu.Unlock()
+	err := inner.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = inner.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("stop server: %w", err)
+	}
+	return nil
+}
+
+// OwnStops leaves the handling of signals to the caller: the library's own
+// would end the process before the daemon's bound.
+func OwnStops(bound time.Duration) { proc.SetTimeToForceQuit(bound) }
+
+// router hands every request to one handler, since routes come from bundles.
+type router struct {
+	handler http.Handler
+}
+
+var _ httpx.Router = (*router)(nil)
+
+// ServeHTTP implements http.Handler.
+func (r *router) ServeHTTP(w http.ResponseWriter, req *http.Request) { r.handler.ServeHTTP(w, req) }
+
+// Handle implements httpx.Router; there are no fixed routes.
+func (r *router) Handle(string, string, http.Handler) error { return nil }
+
+// SetNotFoundHandler implements httpx.Router.
+func (r *router) SetNotFoundHandler(http.Handler) {}
+
+// SetNotAllowedHandler implements httpx.Router.
+func (r *router) SetNotAllowedHandler(http.Handler) {}
--- /dev/null
+++ b/internal/daemon/convert.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/lycheehead/lycheehead/internal/bundle"
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
+)
+
+// This file converts between the schema's messages and the domain's types; the
+// decisions know only the latter.
+
+func encodeInstance(i peer.Instance) *schema.Instance {
+	return schema.Instance_builder{
+		Name:        proto.String(i.Name()),
+		Service:     proto.String(i.Service()),
+		Centre:      proto.String(i.Centre()),
+		Peer:        proto.String(i.Peer()),
+		Caller:      proto.String(i.Caller()),
+		Leaving:     proto.Bool(i.Leaving()),
+		Revision:    proto.Uint64(i.Revision()),
+		Incarnation: proto.Uint64(i.Incarnation()),
+		Gone:        proto.Bool(i.Gone()),
+	}.Build()
+}
+
+func encodeInstances(list []peer.Instance) []*schema.Instance {
+	out := make([]*schema.Instance, 0, len(list))
+	for _, i := range list {
+		out = append(out, encodeInstance(i))
+	}
+	return out
+}
+
+func decodeInstance(m *schema.Instance) peer.Instance {
+	return peer.NewInstance(m.GetName(), m.GetService(), m.GetCentre(), m.GetPeer(), m.GetCaller()).
+		At(m.GetRevision(), m.GetIncarnation()).
+		With(m.GetLeaving(), m.GetGone())
+}
+
+func decodeInstances(list []*schema.Instance) []peer.Instance {
+	out := make([]peer.Instance, 0, len(list))
+	for _, m := range list {
+		out = append(out, decodeInstance(m))
+	}
+	return out
+}
+
+func encodeUpdate(u platform.Update) *schema.Update {
+	m := u.Manifest()
+	digest := m.Version().Digest()
+	out := &schema.Update{}
+	out.SetVersion(m.Version().Number())
+	out.SetDigest(digest[:])
+	if base := u.Base(); base != (platform.Digest{}) {
+		out.SetBase(base[:])
+	}
+	out.SetChanges(bundle.EncodeParts(u.Changed()))
+	out.SetRemoved(u.Removed())
+	out.SetSigner(m.Signer())
+	out.SetSignature(m.Signature())
+	blobs := make([]*schema.Blob, 0, len(u.Blobs()))
+	for _, data := range u.Blobs() {
+		blobs = append(blobs, schema.Blob_builder{Data: data}.Build())
+	}
+	out.SetBlobs(blobs)
+	return out
+}
+
+func encodeOutcome(o caller.Outcome) schema.Outcome {
+	switch o {
+	case caller.Ran:
+		return schema.Outcome_OUTCOME_RAN
+	case caller.NotRun:
+		return schema.Outcome_OUTCOME_NOT_RUN
+	}
+	return schema.Outcome_OUTCOME_UNKNOWN
+}
+
+func decodeOutcome(o schema.Outcome) caller.Outcome {
+	switch o {
+	case schema.Outcome_OUTCOME_RAN:
+		return caller.Ran
+	case schema.Outcome_OUTCOME_NOT_RUN:
+		return caller.NotRun
+	}
+	return caller.Unknown
+}
+
+func encodeVote(v caller.Vote) schema.Vote_State {
+	switch v {
+	case caller.Granted:
+		return schema.Vote_STATE_GRANTED
+	case caller.Pending:
+		return schema.Vote_STATE_PENDING
+	case caller.HasRun:
+		return schema.Vote_STATE_RAN
+	case caller.Unsure:
+		return schema.Vote_STATE_UNKNOWN
+	}
+	return schema.Vote_STATE_ABSTAIN
+}
+
+func decodeVote(s schema.Vote_State) caller.Vote {
+	switch s {
+	case schema.Vote_STATE_GRANTED:
+		return caller.Granted
+	case schema.Vote_STATE_PENDING:
+		return caller.Pending
+	case schema.Vote_STATE_RAN:
+		return caller.HasRun
+	case schema.Vote_STATE_UNKNOWN:
+		return caller.Unsure
+	}
+	return caller.Abstain
+}
+
+func encodeFields(fields []Field) []*schema.Field {
+	out := make([]*schema.Field, 0, len(fields))
+	for _, f := range fields {
+		out = append(out, schema.Field_builder{Name: proto.String(f.name), Value: proto.String(f.value)}.Build())
+	}
+	return out
+}
+
+func decodeFields(list []*schema.Field) []Field {
+	out := make([]Field, 0, len(list))
+	for _, m := range list {
+		out = append(out, Field{name: m.GetName(), value: m.GetValue()})
+	}
+	return out
+}
+
+func encodeWork(w *work, now time.Time) *schema.Call {
+	return schema.Call_builder{
+		Method:      proto.String(w.method),
+		Target:      proto.String(w.target),
+		Fields:      encodeFields(w.fields),
+		Route:       proto.String(w.route),
+		Customer:    proto.String(w.context.Customer()),
+		Key:         proto.String(w.key),
+		Timeout:     durationpb.New(w.context.Deadline().Sub(now)),
+		Depth:       proto.Uint32(uint32(w.context.Depth())),
+		Retries:     proto.Uint32(uint32(w.context.Retries())),
+		Length:      proto.Int64(w.length),
+		Service:     proto.String(w.service),
+		Once:        proto.Bool(w.once),
+		Fingerprint: proto.Uint64(w.fingerprint),
+		Hold:        proto.Bool(w.hold),
+		Open:        proto.Bool(w.context.Open()),
+		Weight:      proto.Uint32(uint32(w.weight)),
+		Version:     proto.Uint64(w.version),
+	}.Build()
+}
+
+// decodeWork reads a call; its deadline counts from now, its arrival.
+func decodeWork(m *schema.Call, now time.Time) *work {
+	deadline := now.Add(m.GetTimeout().AsDuration())
+	return &work{
+		method:      m.GetMethod(),
+		target:      m.GetTarget(),
+		fields:      decodeFields(m.GetFields()),
+		route:       m.GetRoute(),
+		key:         m.GetKey(),
+		context:     caller.NewContext(m.GetCustomer(), m.GetOpen(), deadline, int(m.GetDepth()), int(m.GetRetries())),
+		length:      m.GetLength(),
+		service:     m.GetService(),
+		once:        m.GetOnce(),
+		fingerprint: m.GetFingerprint(),
+		hold:        m.GetHold(),
+		weight:      int(m.GetWeight()),
+		version:     m.GetVersion(),
+	}
+}
+
+func encodeReply(r *reply) *schema.Answer {
+	m := schema.Reply_builder{
+		Outcome: encodeOutcome(r.outcome).Enum(),
+		Status:  proto.Uint32(uint32(r.status)),
+		Fields:  encodeFields(r.fields),
+		Reason:  proto.String(string(r.reason)),
+		Leaving: proto.Bool(r.leaving),
+		Length:  proto.Int64(r.length),
+		Load: schema.Load_builder{
+			Running: proto.Uint32(uint32(r.load.Running())),
+			Waiting: proto.Uint32(uint32(r.load.Waiting())),
+			Window:  proto.Uint32(uint32(r.load.Window())),
+		}.Build(),
+	}.Build()
+	return schema.Answer_builder{Reply: m}.Build()
+}
+
+func decodeReply(m *schema.Reply) *reply {
+	l := m.GetLoad()
+	return &reply{
+		outcome: decodeOutcome(m.GetOutcome()),
+		status:  int(m.GetStatus()),
+		fields:  decodeFields(m.GetFields()),
+		reason:  caller.Reason(m.GetReason()),
+		leaving: m.GetLeaving(),
+		length:  m.GetLength(),
+		load:    upstream.NewLoad(int(l.GetRunning()), int(l.GetWaiting()), int(l.GetWindow())),
+	}
+}
--- /dev/null
+++ b/internal/daemon/door.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/workers"
+)
+
+// defaultTimeout bounds requests on routes without a timeout.
+const defaultTimeout = 30 * time.Second
+
+// door takes the requests of callers and answers for their outcomes.
+type door struct {
+	*core
+	feed       *feed
+	ledger     *ledger
+	dispatcher *dispatcher
+	keeper     *keeper
+}
+
+// work is a request that has been let in.
+type work struct {
+	method, target string
+	fields         []Field
+	route, service string
+	key            string
+	context        caller.Context
+	length         int64
+	once, hold     bool
+	fingerprint    uint64
+	weight         int
+	version        uint64
+	idempotency    string
+}
+
+// pass is the decision on a request at the door: the work, or the refusal.
+type pass struct {
+	work     *work
+	customer platform.Customer
+	limited  bool
+	refusal  caller.Reason
+}
+
+// serve answers one request.
+func (d *door) serve(ctx context.Context, c *Call) *Answer {
+	begin := time.Now()
+	name, a := d.answer(ctx, begin, c)
+	d.metrics.answered(name, a, time.Since(begin))
+	d.log.Info("call", "method", c.method, "path", c.path, "customer", name, "outcome", a.outcome.String(),
+		"reason", string(a.reason), "backend", a.backend, "status", a.status)
+	return a
+}
+
+func (d *door) answer(ctx context.Context, now time.Time, c *Call) (string, *Answer) {
+	switch {
+	case d.stopping.Load():
+		return "", refuse(caller.Leaving)
+	case !d.feed.ready(now):
+		return "", refuse(caller.Starting)
+	}
+	cfg := d.config()
+	p, err := workers.Do(ctx, d.pool, func() pass { return d.admit(now, cfg, c) })
+	switch {
+	case err != nil:
+		return "", refuse(caller.Cancelled)
+	case p.refusal != caller.NoReason:
+		return p.customer.Name(), refuse(p.refusal)
+	}
+	ctx, cancel := context.WithDeadline(ctx, p.work.context.Deadline())
+	defer func() { cancel() }()
+	a := d.run(ctx, cfg, p, c)
+	if a.body != nil {
+		// The body is read after this function returns.
+		a.body, cancel = own(a.body, cancel)
+	}
+	return p.customer.Name(), a
+}
+
+// admit decides whether a request may come in, for whom, and as what.
+func (d *door) admit(now time.Time, cfg *platform.Config, c *Call) pass {
+	route, ok := cfg.Route(c.path)
+	if !ok {
+		return pass{refusal: caller.NoRoute}
+	}
+	p := pass{work: &work{
+		method:      c.method,
+		target:      c.target(),
+		fields:      c.fields,
+		route:       route.Prefix(),
+		service:     route.Service(),
+		key:         c.key,
+		length:      c.length,
+		once:        route.Once(c.method),
+		version:     cfg.Number(),
+		idempotency: c.idempotency,
+	}}
+	timeout := timeoutOf(route, c)
+	if c.parent != "" {
+		p.refusal = d.follow(now, cfg, c, route, timeout, &p)
+	} else {
+		p.refusal = d.enter(now, cfg, c, route, timeout, &p)
+	}
+	if p.refusal == caller.NoReason {
+		p.refusal = d.confirmed(now, cfg, &p)
+	}
+	if p.work.once && route.Keyed() && c.idempotency == "" && p.refusal == caller.NoReason {
+		p.refusal = caller.NeedsKey
+	}
+	p.work.weight = p.customer.Weight()
+	p.work.fingerprint = fingerprint(c)
+	return p
+}
+
+func timeoutOf(route platform.Route, c *Call) time.Duration {
+	timeout := defaultTimeout
+	if route.Timeout() > 0 {
+		timeout = route.Timeout()
+	}
+	if c.timeout > 0 && c.timeout < timeout {
+		timeout = c.timeout
+	}
+	return timeout
+}
+
+// enter lets in a caller's own request, by its key.
+func (d *door) enter(now time.Time, cfg *platform.Config, c *Call, route platform.Route, timeout time.Duration, p *pass) caller.Reason {
+	owner, known := cfg.KeyOwner(c.key)
+	switch {
+	case known:
+		p.customer = owner
+		p.limited = !route.Open()
+	case !route.Open():
+		return caller.BadKey
+	}
+	p.work.context = caller.NewContext(p.customer.Name(), route.Open(), now.Add(timeout), 0, caller.Retries)
+	return caller.NoReason
+}
+
+// follow lets in a request that the daemon's own backend server makes while it
+// runs another: for the same customer, inside the same deadline and budget.
+func (d *door) follow(now time.Time, cfg *platform.Config, c *Call, route platform.Route, timeout time.Duration, p *pass) caller.Reason {
+	parent, running := d.keeper.parent(c.parent)
+	if !running {
+		return caller.BadKey
+	}
+	if parent.Depth()+1 >= caller.DepthMost {
+		return caller.Depth
+	}
+	if owner, ok := cfg.Customer(parent.Customer()); ok {
+		p.customer = owner
+	} else if !route.Open() {
+		return caller.BadKey
+	}
+	deadline := now.Add(timeout)
+	if parent.Deadline().Before(deadline) {
+		deadline = parent.Deadline()
+	}
+	p.work.key = ""
+	p.work.context = caller.NewContext(parent.Customer(), route.Open(), deadline, parent.Depth()+1, parent.Retries())
+	return caller.NoReason
+}
+
+// confirmed refuses requests with keys where the platform has not been heard,
+// by way of anyone, for longer than the operators allow.
+func (d *door) confirmed(now time.Time, cfg *platform.Config, p *pass) caller.Reason {
+	most := cfg.Policy().Unconfirmed(p.work.once)
+	if most == 0 || p.work.context.Open() {
+		return caller.NoReason
+	}
+	if age, ever := d.feed.age(now); !ever || age > most {
+		return caller.Unconfirmed
+	}
+	return caller.NoReason
+}
+
+// run takes a request that was let in through limit, claim and backend server.
+func (d *door) run(ctx context.Context, cfg *platform.Config, p pass, c *Call) *Answer {
+	body, err := readPayload(c.body, c.length)
+	if err != nil {
+		return refuse(caller.BadRequest)
+	}
+	p.work.length = body.length
+	p.work.hold = !body.whole
+	if p.limited {
+		ok, again, err := d.ledger.spend(ctx, cfg, p.customer)
+		switch {
+		case err != nil:
+			return refuse(ended(ctx))
+		case !ok:
+			a := refuse(caller.OverLimit)
+			a.again = again
+			return a
+		}
+	}
+	if !p.work.once || p.work.idempotency == "" {
+		return d.dispatcher.dispatch(ctx, cfg, p.work, body)
+	}
+	return d.runOnce(ctx, cfg, p, body)
+}
+
+// runOnce claims the request's idempotency key around its run.
+func (d *door) runOnce(ctx context.Context, cfg *platform.Config, p pass, body *payload) *Answer {
+	attempt := caller.NewAttempt(p.work.context.Customer(), p.work.idempotency, token())
+	claim, ruling, other := d.ledger.claim(ctx, cfg, attempt)
+	if ruling != caller.Won {
+		d.ledger.end(cfg, claim, caller.NotRun)
+		return lost(ctx, other)
+	}
+	a := d.dispatcher.dispatch(ctx, cfg, p.work, body)
+	d.ledger.end(cfg, claim, a.outcome)
+	return a
+}
+
+// lost answers a request whose key could not be claimed, with what is known of
+// the request that has the key.
+func lost(ctx context.Context, other caller.Vote) *Answer {
+	switch other {
+	case caller.HasRun:
+		return &Answer{outcome: caller.Ran, reason: caller.Duplicate}
+	case caller.Pending, caller.Unsure:
+		return unsure(caller.Duplicate)
+	}
+	if ctx.Err() != nil {
+		return unsure(ended(ctx))
+	}
+	return unsure(caller.NoHolders)
+}
+
+// ended says why a context ended.
+func ended(ctx context.Context) caller.Reason {
+	if context.Cause(ctx) == context.DeadlineExceeded { //nolint:errorlint // contexts return it itself
+		return caller.Deadline
+	}
+	return caller.Cancelled
+}
+
+// fingerprint hashes what equal requests share. The customer is kept apart.
+func fingerprint(c *Call) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, s := range []string{c.method, c.path, c.query, c.idempotency} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.WriteString(strconv.FormatInt(c.length, 10))
+	for _, f := range c.fields {
+		if strings.EqualFold(f.name, "Content-Type") || strings.EqualFold(f.name, "Digest") {
+			_, _ = h.WriteString(f.value)
+		}
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/daemon/handler.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/lycheehead/lycheehead/internal/peerquic"
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+)
+
+// ServePeer implements peerquic.Handler.
+func (d *Daemon) ServePeer(ctx context.Context, from string, r *schema.Request, s *peerquic.Stream) {
+	if r.HasCall() {
+		d.serveCall(ctx, r.GetCall(), s)
+		return
+	}
+	a := d.control(ctx, from, r)
+	if a == nil || s.SendAnswer(a) != nil {
+		s.Abort()
+		return
+	}
+	_ = s.CloseSend()
+}
+
+// control answers a control message, or returns nil to one that it does not
+// know.
+func (d *Daemon) control(ctx context.Context, from string, r *schema.Request) *schema.Answer {
+	now := time.Now()
+	switch {
+	case r.HasOffer():
+		return d.takeOffer(now, from, r.GetOffer())
+	case r.HasPull():
+		return d.givePull(r.GetPull())
+	case r.HasGossip():
+		return d.giveGossip(now, from, r.GetGossip())
+	case r.HasBorrow():
+		return d.lend(now, r.GetBorrow())
+	case r.HasClaim():
+		return d.vote(now, r.GetClaim())
+	case r.HasSettle():
+		return d.settleClaim(now, r.GetSettle())
+	case r.HasDeath():
+		m := r.GetDeath()
+		d.keeper.quarantine.Died(now, backend.NewSuspect(m.GetCustomer(), m.GetFingerprint()))
+		return ack(false)
+	}
+	_ = ctx
+	return nil
+}
+
+func ack(want bool) *schema.Answer {
+	return schema.Answer_builder{Ack: schema.Ack_builder{Want: proto.Bool(want)}.Build()}.Build()
+}
+
+// takeOffer judges a version that a peer pushes. Where its base is not held the
+// version is pulled instead.
+func (d *Daemon) takeOffer(now time.Time, from string, o *schema.Offer) *schema.Answer {
+	verdict, _ := d.spread.take(now, o.GetUpdate(), from)
+	if verdict == platform.Missing {
+		d.core.tasks.start(func() { d.spread.pull(from) })
+		return ack(true)
+	}
+	return ack(false)
+}
+
+func (d *Daemon) givePull(p *schema.Pull) *schema.Answer {
+	theirs := platform.NewVersion(p.GetVersion(), platform.DigestFrom(p.GetDigest()))
+	update := schema.Update_builder{Empty: proto.Bool(true)}.Build()
+	if d.core.store.Version().Compare(theirs) > 0 {
+		if u, ok := d.core.store.Since(theirs.Digest()); ok {
+			update = encodeUpdate(u)
+		}
+	}
+	return schema.Answer_builder{Update: update}.Build()
+}
+
+// giveGossip answers a comparison, and pulls where the other side is ahead. An
+// empty comparison is a call for a sign of life.
+func (d *Daemon) giveGossip(now time.Time, from string, g *schema.Gossip) *schema.Answer {
+	if !g.HasFrom() {
+		return schema.Answer_builder{Gossip: &schema.Gossip{}}.Build()
+	}
+	d.spread.hear(now, from, g)
+	if d.spread.behind(g) {
+		d.core.tasks.start(func() { d.spread.pull(from) })
+	}
+	return schema.Answer_builder{Gossip: d.spread.message(now, g.GetMembers())}.Build()
+}
+
+func (d *Daemon) lend(now time.Time, b *schema.Borrow) *schema.Answer {
+	g := d.ledger.vault.Lend(now, b.GetCustomer(), int(b.GetPurse()), int(b.GetCount()))
+	return schema.Answer_builder{Grant: schema.Grant_builder{
+		Count:    proto.Uint32(uint32(g.Count())),
+		Validity: durationpb.New(g.Validity()),
+		Again:    durationpb.New(g.Again()),
+	}.Build()}.Build()
+}
+
+// vote answers a claim. Before the first version nothing is vouched for.
+func (d *Daemon) vote(now time.Time, m *schema.Claim) *schema.Answer {
+	vote := caller.Abstain
+	if cfg := d.core.config(); cfg != nil {
+		vote = d.ledger.claims.Claim(now, cfg.Policy(), caller.NewAttempt(m.GetCustomer(), m.GetKey(), m.GetAttempt()))
+	}
+	return schema.Answer_builder{Vote: schema.Vote_builder{State: encodeVote(vote).Enum()}.Build()}.Build()
+}
+
+func (d *Daemon) settleClaim(now time.Time, m *schema.Settle) *schema.Answer {
+	if cfg := d.core.config(); cfg != nil {
+		a := caller.NewAttempt(m.GetCustomer(), m.GetKey(), m.GetAttempt())
+		d.ledger.claims.Settle(now, cfg.Policy(), a, decodeOutcome(m.GetOutcome()))
+	}
+	return ack(false)
+}
+
+// serveCall runs a call of another daemon at the backend server.
+func (d *Daemon) serveCall(ctx context.Context, m *schema.Call, s *peerquic.Stream) {
+	w := decodeWork(m, time.Now())
+	admitted := func() error {
+		reply := schema.Reply_builder{Admitted: proto.Bool(true)}.Build()
+		return s.SendAnswer(schema.Answer_builder{Reply: reply}.Build())
+	}
+	r := d.keeper.serve(ctx, w, s, admitted)
+	if r.body != nil {
+		defer func() { _ = r.body.Close() }()
+	}
+	if err := s.SendAnswer(encodeReply(r)); err != nil {
+		s.Abort()
+		return
+	}
+	if r.body != nil {
+		if _, err := io.Copy(s, r.body); err != nil {
+			s.Abort()
+			return
+		}
+	}
+	_ = s.CloseSend()
+	s.StopReading()
+}
--- /dev/null
+++ b/internal/daemon/keeper.go
@@ -0,0 +1,415 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheehead/lycheehead/internal/backendhttp"
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/table"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
+	"github.com/lycheehead/lycheehead/pkg/workers"
+)
+
+// Header fields between daemon and backend server.
+const (
+	// ParentHeader names a running request; the backend server passes it on
+	// with the calls that the request leads to.
+	ParentHeader = "Lycheehead-Request"
+	// CustomerHeader names the customer that a request runs for.
+	CustomerHeader = "Lycheehead-Customer"
+	// TimeoutHeader has what is left of the deadline in milliseconds.
+	TimeoutHeader = "Lycheehead-Timeout"
+	// instanceHeader is the backend server's mark, which a restart changes.
+	instanceHeader = "Backend-Instance"
+	// shedHeader says that the backend server refused a request unrun.
+	shedHeader = "Backend-Shed"
+)
+
+const (
+	// connections is how many connections a backend server gets at most.
+	connections = 100
+	// deathTimeout bounds telling another daemon of a death.
+	deathTimeout = time.Second
+	// bodyBuffer is the size in bytes of the reads of a body held back.
+	bodyBuffer = 4 << 10
+)
+
+// gate is the admission to a backend server, whatever its window.
+type gate interface {
+	Arrive(now time.Time, customer string, weight int, deadline time.Time) (*backend.Ticket, backend.State)
+	State(t *backend.Ticket) backend.State
+	Done(now time.Time, t *backend.Ticket, r backend.Result)
+	Withdraw(t *backend.Ticket) bool
+	Lost(now time.Time)
+	Resize(now time.Time, slots int)
+	Close()
+	Load() upstream.Load
+}
+
+// keeper admits work to the daemon's own backend server and carries it there.
+type keeper struct {
+	*core
+	feed       *feed
+	gate       gate
+	quarantine *backend.Quarantine
+	client     *backendhttp.Client
+	// calls has the contexts of the requests that run, by their tokens.
+	calls *table.Table[string, caller.Context]
+	// marks has the backend server's instance mark under the empty key.
+	marks *table.Table[string, string]
+}
+
+func newKeeper(c *core, f *feed, g gate) *keeper {
+	k := &keeper{
+		core:       c,
+		feed:       f,
+		gate:       g,
+		quarantine: backend.NewQuarantine(),
+		calls:      table.New[string, caller.Context](lock.Calls),
+		marks:      table.New[string, string](lock.Calls),
+	}
+	k.client = backendhttp.New(c.settings.GetBackend(), connections, k.lost)
+	return k
+}
+
+// lost notes a sign that the backend server has started anew.
+func (k *keeper) lost() {
+	k.log.Info("gate", "reason", "backend server lost its connections")
+	k.gate.Lost(time.Now())
+}
+
+// adopt takes over a version.
+func (k *keeper) adopt(now time.Time, cfg *platform.Config) {
+	if b, ok := cfg.Backend(k.self.Name()); ok {
+		k.gate.Resize(now, b.Slots())
+	}
+}
+
+// parent returns the context of a running request.
+func (k *keeper) parent(token string) (caller.Context, bool) { return k.calls.Get(token) }
+
+// admission is the decision on a piece of work at the gate.
+type admission struct {
+	ticket  *backend.Ticket
+	state   backend.State
+	refusal caller.Reason
+}
+
+// serve runs work at the backend server. admitted is called before the first
+// byte of a body that was held back is read.
+func (k *keeper) serve(ctx context.Context, w *work, body io.Reader, admitted func() error) *reply {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, w.context.Deadline())
+	r := k.admitAndRun(ctx, now, w, body, admitted)
+	r.load = k.gate.Load()
+	k.log.Info("gate", "customer", w.context.Customer(), "route", w.route, "outcome", r.outcome.String(),
+		"reason", string(r.reason), "running", r.load.Running(), "waiting", r.load.Waiting(), "window", r.load.Window())
+	if r.body == nil {
+		cancel()
+		return r
+	}
+	r.body, _ = own(r.body, cancel)
+	return r
+}
+
+func (k *keeper) admitAndRun(ctx context.Context, now time.Time, w *work, body io.Reader, admitted func() error) *reply {
+	a, err := workers.Do(ctx, k.pool, func() admission { return k.admit(now, w) })
+	if err != nil {
+		return notRun(ended(ctx))
+	}
+	if a.refusal != caller.NoReason {
+		r := notRun(a.refusal)
+		r.leaving = a.refusal == caller.Leaving
+		return r
+	}
+	if reason := k.wait(ctx, a); reason != caller.NoReason {
+		return notRun(reason)
+	}
+	// The last look before the backend server: a process that was paused while
+	// the work waited must not run what was given up meanwhile.
+	if ctx.Err() != nil || !time.Now().Before(w.context.Deadline()) {
+		k.gate.Done(time.Now(), a.ticket, backend.Ended)
+		return notRun(caller.Deadline)
+	}
+	if w.hold {
+		body, err = begin(body, admitted)
+		if err != nil {
+			k.gate.Done(time.Now(), a.ticket, backend.Ended)
+			return notRun(caller.Cancelled)
+		}
+	}
+	return k.run(ctx, w, body, a.ticket)
+}
+
+// begin asks for a body that was held back and waits for its first byte.
+func begin(body io.Reader, admitted func() error) (io.Reader, error) {
+	if err := admitted(); err != nil {
+		return nil, fmt.Errorf("ask for the body: %w", err)
+	}
+	r := bufio.NewReaderSize(body, bodyBuffer)
+	if _, err := r.Peek(1); err != nil {
+		return nil, fmt.Errorf("begin body: %w", err)
+	}
+	return r, nil
+}
+
+func notRun(reason caller.Reason) *reply {
+	return &reply{outcome: caller.NotRun, reason: reason}
+}
+
+// admit decides on work at the gate. The door has checked the key; it is
+// checked again here unless the door went by a newer version.
+func (k *keeper) admit(now time.Time, w *work) admission {
+	cfg := k.config()
+	switch {
+	case k.stopping.Load():
+		return admission{refusal: caller.Leaving}
+	case cfg == nil || !k.feed.ready(now):
+		return admission{refusal: caller.Starting}
+	case !cfg.InService(k.self.Name()):
+		return admission{refusal: caller.OutOfService}
+	}
+	if w.version <= cfg.Number() {
+		if reason := permitted(cfg, w); reason != caller.NoReason {
+			return admission{refusal: reason}
+		}
+	}
+	if b, ok := cfg.Backend(k.self.Name()); !ok || b.Service() != w.service {
+		return admission{refusal: caller.OutOfService}
+	}
+	if k.quarantine.Held(now, suspect(w)) {
+		return admission{refusal: caller.Quarantined}
+	}
+	t, state := k.gate.Arrive(now, w.context.Customer(), w.weight, w.context.Deadline())
+	return admission{ticket: t, state: state}
+}
+
+// permitted checks that the work may run for its customer.
+func permitted(cfg *platform.Config, w *work) caller.Reason {
+	route, ok := cfg.Route(pathOf(w.target))
+	if !ok {
+		return caller.NoRoute
+	}
+	customer := w.context.Customer()
+	switch {
+	case route.Open():
+		return caller.NoReason
+	case w.context.Depth() > 0:
+		if _, known := cfg.Customer(customer); !known {
+			return caller.BadKey
+		}
+		return caller.NoReason
+	}
+	if owner, known := cfg.KeyOwner(w.key); !known || owner.Name() != customer {
+		return caller.BadKey
+	}
+	return caller.NoReason
+}
+
+func pathOf(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+func suspect(w *work) backend.Suspect {
+	return backend.NewSuspect(w.context.Customer(), w.fingerprint)
+}
+
+// wait waits for a ticket's turn and returns why it has none.
+func (k *keeper) wait(ctx context.Context, a admission) caller.Reason {
+	state := a.state
+	if state == backend.Waiting {
+		select {
+		case <-a.ticket.Moved():
+		case <-ctx.Done():
+			if !k.gate.Withdraw(a.ticket) {
+				k.gate.Done(time.Now(), a.ticket, backend.Ended)
+			}
+			return ended(ctx)
+		}
+		state = k.gate.State(a.ticket)
+	}
+	switch state {
+	case backend.Running:
+		return caller.NoReason
+	case backend.Crowded:
+		return caller.Overload
+	case backend.Closed:
+		return caller.Leaving
+	}
+	return caller.Deadline
+}
+
+// run sends admitted work to the backend server.
+func (k *keeper) run(ctx context.Context, w *work, body io.Reader, t *backend.Ticket) *reply {
+	parent := token()
+	k.calls.Put(parent, w.context)
+	resp, err := k.client.Do(ctx, backendhttp.NewRequest(w.method, w.target, k.header(w, parent), body, w.length))
+	if err != nil {
+		k.calls.Delete(parent)
+		return k.broken(ctx, w, t, err)
+	}
+	k.mark(resp.Header.Get(instanceHeader))
+	if resp.Header.Get(shedHeader) != "" {
+		k.calls.Delete(parent)
+		_ = resp.Body.Close()
+		k.gate.Done(time.Now(), t, backend.Shed)
+		return notRun(caller.Overload)
+	}
+	result := backend.Served
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		result = backend.Shed
+	}
+	k.quarantine.Answered(suspect(w))
+	return &reply{
+		outcome: caller.Ran,
+		status:  resp.StatusCode,
+		fields:  fieldsOf(resp.Header),
+		length:  resp.ContentLength,
+		body:    &backendBody{keeper: k, ctx: ctx, body: resp.Body, ticket: t, result: result, parent: parent, work: w},
+	}
+}
+
+// broken replies to work that the backend server did not answer.
+func (k *keeper) broken(ctx context.Context, w *work, t *backend.Ticket, err error) *reply {
+	k.log.Debug("backend server", "error", err)
+	now := time.Now()
+	switch {
+	case errors.Is(err, backendhttp.ErrNotSent) && ctx.Err() != nil:
+		k.gate.Done(now, t, backend.Ended)
+		return notRun(ended(ctx))
+	case errors.Is(err, backendhttp.ErrNotSent):
+		k.gate.Done(now, t, backend.Broken)
+		return notRun(caller.NoBackend)
+	case ctx.Err() != nil:
+		k.gate.Done(now, t, backend.Ended)
+		return &reply{outcome: caller.Unknown, reason: ended(ctx)}
+	}
+	k.gate.Done(now, t, backend.Broken)
+	k.died(now, w)
+	return &reply{outcome: caller.Unknown, reason: caller.LostAnswer}
+}
+
+// died notes that the backend server died while it ran work, and tells the
+// other daemons of the service, where the same request may come next.
+func (k *keeper) died(now time.Time, w *work) {
+	k.log.Warn("backend server died", "customer", w.context.Customer(), "route", w.route, "fingerprint", w.fingerprint)
+	k.quarantine.Died(now, suspect(w))
+	request := schema.Request_builder{Death: schema.Death_builder{
+		Customer:    proto.String(w.context.Customer()),
+		Fingerprint: proto.Uint64(w.fingerprint),
+		Backend:     proto.String(k.self.Name()),
+	}.Build()}.Build()
+	for _, b := range k.config().BackendsOf(w.service) {
+		if b.Name() != k.self.Name() {
+			k.tasks.start(func() { _, _ = k.ask(k.quit, b.Name(), deathTimeout, request) })
+		}
+	}
+}
+
+// mark notes the backend server's instance mark; a new one is a new start.
+func (k *keeper) mark(mark string) {
+	if mark == "" {
+		return
+	}
+	changed := false
+	k.marks.Update("", func(old string, ok bool) (string, bool) {
+		changed = ok && old != mark
+		return mark, true
+	})
+	if changed {
+		k.gate.Lost(time.Now())
+	}
+}
+
+// header builds the header fields for the backend server.
+func (k *keeper) header(w *work, parent string) http.Header {
+	h := make(http.Header, len(w.fields)+3)
+	for _, f := range w.fields {
+		h.Add(f.name, f.value)
+	}
+	h.Set(ParentHeader, parent)
+	h.Set(CustomerHeader, w.context.Customer())
+	left := time.Until(w.context.Deadline())
+	h.Set(TimeoutHeader, strconv.FormatInt(left.Milliseconds(), 10))
+	return h
+}
+
+func fieldsOf(h http.Header) []Field {
+	fields := make([]Field, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			fields = append(fields, Field{name: name, value: v})
+		}
+	}
+	return fields
+}
+
+// backendBody is the body of a backend server's answer. The request counts as
+// running until it is closed.
+type backendBody struct {
+	keeper *keeper
+	ctx    context.Context
+	body   io.ReadCloser
+	ticket *backend.Ticket
+	result backend.Result
+	parent string
+	work   *work
+	once   sync.Once
+}
+
+// Read implements io.Reader.
+func (b *backendBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // readers return io.EOF itself
+		b.cut()
+		return n, fmt.Errorf("read answer: %w", err)
+	}
+	return n, err
+}
+
+// cut notes that an answer ended before it was whole.
+func (b *backendBody) cut() {
+	if b.ctx.Err() != nil {
+		b.end(backend.Ended)
+		return
+	}
+	b.end(backend.Broken)
+}
+
+// Close implements io.Closer.
+func (b *backendBody) Close() error {
+	b.end(b.result)
+	if err := b.body.Close(); err != nil {
+		return fmt.Errorf("close answer: %w", err)
+	}
+	return nil
+}
+
+func (b *backendBody) end(r backend.Result) {
+	b.once.Do(func() {
+		b.keeper.calls.Delete(b.parent)
+		b.keeper.gate.Done(time.Now(), b.ticket, r)
+		if r == backend.Broken {
+			b.keeper.died(time.Now(), b.work)
+		}
+	})
+}
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/lycheehead/lycheehead/pkg/caller"
+)
+
+// reportEvery is how often metrics are handed to the reporter.
+const reportEvery = time.Second
+
+// metrics are the daemon's counters, gauges and timers.
+type metrics struct {
+	scope  tally.Scope
+	closer io.Closer
+	// handler serves the metrics over HTTP.
+	handler http.Handler
+}
+
+func newMetrics(name, centre string) *metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "lycheehead",
+		Tags:            map[string]string{"slot": name, "centre": centre},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportEvery)
+	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+func (m *metrics) close() { _ = m.closer.Close() }
+
+func (m *metrics) answered(customer string, a *Answer, took time.Duration) {
+	tags := map[string]string{
+		"customer": customer,
+		"outcome":  a.outcome.String(),
+		"reason":   string(a.reason),
+	}
+	m.scope.Tagged(tags).Counter("calls").Inc(1)
+	if a.outcome == caller.Ran {
+		m.scope.Timer("call").Record(took)
+	}
+}
+
+func (m *metrics) count(name string) { m.scope.Counter(name).Inc(1) }
+
+func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- /dev/null
+++ b/internal/daemon/spread.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/lycheehead/lycheehead/internal/bundle"
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/platform"
+)
+
+const (
+	// fanout is how many daemons each one passes a version on to.
+	fanout = 4
+	// neighbours is how many daemons of its data centre one compares with.
+	neighbours = 3
+	// strangers is how many of other data centres.
+	strangers = 2
+	// gossipEvery is the time between two comparisons, give or take a fifth.
+	gossipEvery = 2 * time.Second
+	// startPeers and startStrangers are how many daemons, of the data centre
+	// and of others, one asks at its start.
+	startPeers     = 4
+	startStrangers = 2
+	askTimeout     = time.Second
+	pullTimeout    = 3 * time.Second
+	// rumoursMost is how many entries one comparison passes on.
+	rumoursMost = 16
+	sourceRoot  = "platform"
+)
+
+// spread passes versions and instances between daemons.
+type spread struct {
+	*core
+	feed *feed
+	turn int
+	// heard is called with the version that a slot's daemon told of itself.
+	heard func(now time.Time, name string, number uint64)
+	// awaited returns the slots whose version is waited for.
+	awaited func() []string
+}
+
+// pullAtStart asks some peers for the version in force and returns their
+// names. The answers are taken in as they come.
+func (s *spread) pullAtStart() []string {
+	now := time.Now()
+	rnd := random()
+	var own, others []string
+	for _, i := range s.members.All() {
+		switch {
+		case i.Name() == s.self.Name() || i.Gone() || !s.members.Reachable(now, i.Name()):
+		case i.Centre() == s.self.Centre():
+			own = append(own, i.Name())
+		default:
+			others = append(others, i.Name())
+		}
+	}
+	for _, list := range [][]string{own, others} {
+		rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	names := append(own[:min(startPeers, len(own))], others[:min(startStrangers, len(others))]...)
+	for _, name := range names {
+		s.tasks.start(func() {
+			if s.pull(name) {
+				s.feed.settle.Heard(name)
+			}
+		})
+	}
+	return names
+}
+
+// pull asks a daemon for its version and takes it in where it is newer. It
+// returns whether the daemon answered.
+func (s *spread) pull(name string) bool {
+	v := s.store.Version()
+	digest := v.Digest()
+	request := schema.Request_builder{Pull: schema.Pull_builder{
+		Version: proto.Uint64(v.Number()),
+		Digest:  digest[:],
+	}.Build()}.Build()
+	a, err := s.ask(s.quit, name, pullTimeout, request)
+	if err != nil || !a.HasUpdate() {
+		s.log.Debug("pull", "from", name, "error", err)
+		return false
+	}
+	if !a.GetUpdate().GetEmpty() {
+		s.take(time.Now(), a.GetUpdate(), name)
+	}
+	return true
+}
+
+// take judges an update of a peer.
+func (s *spread) take(now time.Time, u *schema.Update, from string) (platform.Verdict, error) {
+	m, err := s.store.Rebuild(u.GetVersion(), platform.DigestFrom(u.GetBase()),
+		bundle.DecodeParts(u.GetChanges()), u.GetRemoved())
+	if err != nil {
+		return platform.Missing, err
+	}
+	blobs := make([][]byte, 0, len(u.GetBlobs()))
+	for _, b := range u.GetBlobs() {
+		blobs = append(blobs, b.GetData())
+	}
+	verdict, _, err := s.feed.offer(now, m.Signed(u.GetSigner(), u.GetSignature()), blobs, from)
+	if verdict == platform.Rejected {
+		s.log.Error("version rejected", "version", u.GetVersion(), "from", from, "error", err)
+	}
+	return verdict, err
+}
+
+// push passes the version in force on along the tree of the data centre. The
+// tree's order turns with the version, so that the work of passing on does too.
+func (s *spread) push(source string) {
+	if s.feed.everyoneReads() {
+		return
+	}
+	v := s.store.Version()
+	live := s.members.Live(time.Now(), s.self.Centre())
+	order := peer.Rank(v.Digest().String(), live)
+	next := peer.Children(order, s.self.Name(), fanout)
+	if source == sourceRoot && len(order) > 0 && order[0] != s.self.Name() {
+		next = append([]string{order[0]}, next...)
+	}
+	for _, name := range next {
+		if name != s.self.Name() && name != source {
+			s.tasks.start(func() { s.offer(order, name) })
+		}
+	}
+}
+
+// offer sends the version in force to a daemon; where that cannot be reached,
+// to those it would have passed the version on to.
+func (s *spread) offer(order []string, name string) {
+	base := s.store.Base()
+	u, ok := s.store.Since(base)
+	if !ok {
+		return
+	}
+	request := schema.Request_builder{Offer: schema.Offer_builder{Update: encodeUpdate(u)}.Build()}.Build()
+	if _, err := s.ask(s.quit, name, askTimeout, request); err == nil {
+		return
+	}
+	for _, child := range peer.Children(order, name, fanout) {
+		if child != s.self.Name() {
+			s.offer(order, child)
+		}
+	}
+}
+
+// gossip compares versions and instances with the neighbours, one at a time.
+func (s *spread) gossip() {
+	for {
+		jitter := time.Duration(random().Int64N(int64(gossipEvery / 5)))
+		if !s.pause(gossipEvery - gossipEvery/10 + jitter) {
+			return
+		}
+		now := time.Now()
+		s.turn++
+		for _, name := range s.awaited() {
+			s.compare(name)
+		}
+		if name, ok := s.neighbour(now); ok {
+			s.compare(name)
+		}
+	}
+}
+
+// neighbour returns whom to compare with next: a few of the data centre and a
+// few beyond in turn. They stay the same while they live, so that connections
+// are kept.
+func (s *spread) neighbour(now time.Time) (string, bool) {
+	own := s.members.Live(now, s.self.Centre())
+	near := without(peer.Rank(s.self.Name(), own), s.self.Name())
+	near = near[:min(neighbours, len(near))]
+	var beyond []string
+	for _, name := range s.members.Live(now, "") {
+		if i, _ := s.members.Get(name); i.Centre() != s.self.Centre() {
+			beyond = append(beyond, name)
+		}
+	}
+	far := peer.Top(s.self.Name(), beyond, strangers)
+	names := append(near, far...)
+	if len(names) == 0 {
+		return "", false
+	}
+	return names[s.turn%len(names)], true
+}
+
+func without(names []string, name string) []string {
+	out := make([]string, 0, len(names))
+	for _, n := range names {
+		if n != name {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// compare tells a daemon what this one holds and takes in its answer.
+func (s *spread) compare(name string) {
+	request := schema.Request_builder{Gossip: s.message(time.Now(), nil)}.Build()
+	a, err := s.ask(s.quit, name, askTimeout, request)
+	if err != nil || !a.HasGossip() {
+		s.log.Trace("gossip", "with", name, "error", err)
+		return
+	}
+	s.hear(time.Now(), name, a.GetGossip())
+	if s.behind(a.GetGossip()) {
+		s.pull(name)
+	}
+}
+
+// message tells what this daemon holds. Entries come from the first bucket that
+// differs from the other side's digests, if given, and from the rumours.
+func (s *spread) message(now time.Time, digests []byte) *schema.Gossip {
+	v := s.store.Version()
+	digest := v.Digest()
+	instances := s.members.Rumours(rumoursMost)
+	instances = append(instances, s.members.Differing(digests, s.turn)...)
+	g := schema.Gossip_builder{
+		From:      encodeInstance(s.members.Self()),
+		Version:   proto.Uint64(v.Number()),
+		Digest:    digest[:],
+		Instances: encodeInstances(instances),
+		Members:   s.members.Digests(),
+		Settled:   proto.Bool(s.feed.ready(now)),
+	}.Build()
+	if age, ok := s.feed.age(now); ok {
+		g.SetConfirmed(durationpb.New(age))
+	}
+	return g
+}
+
+// hear takes in what a daemon tells.
+func (s *spread) hear(now time.Time, name string, g *schema.Gossip) {
+	if from := decodeInstance(g.GetFrom()); from.Name() == name {
+		s.members.Merge([]peer.Instance{from})
+	}
+	s.members.Merge(decodeInstances(g.GetInstances()))
+	s.heard(now, name, g.GetVersion())
+	same := platform.DigestFrom(g.GetDigest()) == s.store.Version().Digest()
+	if g.HasConfirmed() && same {
+		s.feed.confirm(now.Add(-g.GetConfirmed().AsDuration()))
+	}
+}
+
+// behind says whether the other side holds a newer version.
+func (s *spread) behind(g *schema.Gossip) bool {
+	theirs := platform.NewVersion(g.GetVersion(), platform.DigestFrom(g.GetDigest()))
+	return s.store.Version().Compare(theirs) < 0
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -132,8 +132,9 @@
 	for i, a := range p.GetAddresses() {
 		address(ps, fmt.Sprintf("platform.addresses[%d]", i), a)
 	}
-	for i, a := range p.GetSeeds() {
-		address(ps, fmt.Sprintf("platform.seeds[%d]", i), a)
+	for i, seed := range p.GetSeeds() {
+		required(ps, fmt.Sprintf("platform.seeds[%d].name", i), seed.GetName())
+		address(ps, fmt.Sprintf("platform.seeds[%d].peer", i), seed.GetPeer())
 	}
 	if len(p.GetAddresses()) == 0 {
 		ps.Add("platform.addresses", "names no address")
--- /dev/null
+++ b/internal/standin/errors.go
@@ -0,0 +1,5 @@
+package standin
+
+import "errors"
+
+var errListen = errors.New("stand-in cannot listen")
--- a/internal/yaml/yaml.go
+++ b/internal/yaml/yaml.go
@@ -32,6 +32,9 @@
 	return text, nil
 }
 
+// rule names the faults that a check finds in the errors.
+const rule = "check"
+
 type checker[M proto.Message] struct {
 	check func(M) error
 }
@@ -48,6 +51,7 @@
 		out.Violations = append(out.Violations, &protovalidate.Violation{
 			Proto: validate.Violation_builder{
 				Field:   fieldPath(m.ProtoReflect().Descriptor(), p.Path()),
+				RuleId:  proto.String(rule),
 				Message: proto.String(p.Text()),
 			}.Build(),
 		})
--- a/pkg/backend/gate.go
+++ b/pkg/backend/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
 // State is where a request is at the gate.
@@ -45,20 +46,6 @@
 	waiting []*Ticket
 }
 
-// Load is a gate's load.
-type Load struct {
-	running, waiting, window int
-}
-
-// Running returns how many requests run.
-func (l Load) Running() int { return l.running }
-
-// Waiting returns how many requests wait.
-func (l Load) Waiting() int { return l.waiting }
-
-// Window returns how many requests may run at once.
-func (l Load) Window() int { return l.window }
-
 // Gate admits requests to one backend server. Make one with NewGate.
 type Gate[W Window] struct {
 	// mu, of rank lock.Gate, guards what follows.
@@ -257,8 +244,8 @@
 }
 
 // Load returns the gate's load.
-func (g *Gate[W]) Load() Load {
+func (g *Gate[W]) Load() upstream.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Load{running: g.running, waiting: g.waiting, window: g.window.Size()}
+	return upstream.NewLoad(g.running, g.waiting, g.window.Size())
 }
--- a/pkg/platform/store.go
+++ b/pkg/platform/store.go
@@ -97,7 +97,7 @@
 func (s *Store[C, D]) Offer(m *Manifest, blobs [][]byte) (Verdict, []Part, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if verdict, err, done := s.known(m); done {
+	if verdict, done, err := s.known(m); done {
 		return verdict, nil, err
 	}
 	if err := m.Verify(s.trusted); err != nil {
@@ -122,21 +122,21 @@
 }
 
 // known settles offers that need no further look.
-func (s *Store[C, D]) known(m *Manifest) (Verdict, error, bool) { //nolint:revive // the error belongs to the verdict
+func (s *Store[C, D]) known(m *Manifest) (verdict Verdict, done bool, err error) {
 	if err, bad := s.rejected[m.version.digest]; bad {
-		return Rejected, err, true
+		return Rejected, true, err
 	}
 	cur := s.current.Load()
 	if cur == nil {
-		return 0, nil, false
+		return 0, false, nil
 	}
 	switch c := m.version.Compare(cur.manifest.version); {
 	case c == 0:
-		return Current, nil, true
+		return Current, true, nil
 	case c < 0:
-		return Older, nil, true
+		return Older, true, nil
 	}
-	return 0, nil, false
+	return 0, false, nil
 }
 
 // collect finds the content of each part among the given and the held ones.
@@ -257,3 +257,14 @@
 	}
 	return nil
 }
+
+// Base returns the digest of the manifest before the one in force, to offer
+// changes to daemons that most likely hold it; zero where there is none.
+func (s *Store[C, D]) Base() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.past) < 2 {
+		return Digest{}
+	}
+	return s.past[len(s.past)-2].version.digest
+}
--- a/pkg/upstream/policy.go
+++ b/pkg/upstream/policy.go
@@ -24,9 +24,12 @@
 // Score returns the load as a part of what the backend server bears.
 func (c Candidate) Score() float64 { return c.score }
 
+// Rand is the source of random numbers of one event.
+type Rand = *rand.Rand
+
 // Policy chooses one of at least one candidates by index.
 type Policy interface {
-	Choose(rnd *rand.Rand, candidates []Candidate) int
+	Choose(rnd Rand, candidates []Candidate) int
 }
 
 // distances is how many distances there are.
@@ -40,7 +43,7 @@
 type ByLoad struct{}
 
 // Choose implements Policy.
-func (ByLoad) Choose(rnd *rand.Rand, candidates []Candidate) int {
+func (ByLoad) Choose(rnd Rand, candidates []Candidate) int {
 	best, bestScore := -1, 0.0
 	for d := range distances {
 		i := betterOfTwo(rnd, candidates, d)
@@ -57,7 +60,7 @@
 
 // betterOfTwo draws two candidates at a distance and returns the less loaded
 // one, or -1 where there is none.
-func betterOfTwo(rnd *rand.Rand, candidates []Candidate, distance int) int {
+func betterOfTwo(rnd Rand, candidates []Candidate, distance int) int {
 	first, second := -1, -1
 	seen := 0
 	for i, c := range candidates {
@@ -93,6 +96,6 @@
 type Random struct{}
 
 // Choose implements Policy.
-func (Random) Choose(rnd *rand.Rand, candidates []Candidate) int {
+func (Random) Choose(rnd Rand, candidates []Candidate) int {
 	return rnd.IntN(len(candidates))
 }
--- a/pkg/upstream/router.go
+++ b/pkg/upstream/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -89,7 +88,7 @@
 // Pick chooses a backend server of a service that is in service, usable, not
 // left alone and not among those tried, and counts a request in flight to it.
 // Done ends that request.
-func (r *Router[P]) Pick(now time.Time, rnd *rand.Rand, cfg *platform.Config, service string, usable Usable, tried []string) (Candidate, bool) {
+func (r *Router[P]) Pick(now time.Time, rnd Rand, cfg *platform.Config, service string, usable Usable, tried []string) (Candidate, bool) {
 	var candidates []Candidate
 	for _, b := range cfg.BackendsOf(service) {
 		if slices.Contains(tried, b.Name()) || !cfg.InService(b.Name()) {
