Send few packets a call and take few threads

Cause: a call crossed the mesh as up to six packets, each a system call and a wake-up on both sides, and every daemon ran as many threads as the machine has processors. Ruled out: garbage collection alone (GOGC=1000 moved p99 by a third), the gate (most slow calls were slow outside it), new connections (the same after warming up).

Change: a message goes out together with what follows it; the daemon takes two processors and collects garbage later, within 96 MB.

--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,6 +20,14 @@
 	"github.com/lycheehead/lycheehead/internal/settings"
 )
 
+// The daemon shares its machine with the backend server: it takes few threads,
+// and rather some memory than time for collecting garbage.
+const (
+	processors  = 2
+	gcPercent   = 400
+	memoryLimit = 96 << 20
+)
+
 // closeBound is what a stop may take after all calls have ended.
 const closeBound = 3 * time.Second
 
@@ -42,6 +52,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	callerhttp.OwnStops(settings.StopBound(s) + 2*closeBound)
+	bound()
 	d, err := daemon.New(s, id, newLog(s))
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
@@ -55,6 +66,18 @@
 	return shutdown(s, d, servers)
 }
 
+// bound sets what the process takes of the machine, unless its environment says
+// otherwise.
+func bound() {
+	if os.Getenv("GOMAXPROCS") == "" {
+		runtime.GOMAXPROCS(min(processors, runtime.NumCPU()))
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(memoryLimit)
+	}
+}
+
 func newLog(s *schema.Settings) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "lycheehead",
--- a/cmd/standin/publish.go
+++ b/cmd/standin/publish.go
@@ -2,17 +2,18 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lycheehead/lycheehead/internal/platformhttp"
 )
 
-var errRefused = errors.New("platform refused")
+var errRefused = eris.New("platform refused")
 
 type publishCommand struct {
 	To        string `required:"" help:"The stand-in platform's address."`
--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
@@ -23,7 +24,7 @@
 )
 
 // ErrNotSent says that nothing of a request reached the backend server.
-var ErrNotSent = errors.New("request was not sent")
+var ErrNotSent = eris.New("request was not sent")
 
 // Client sends requests to one backend server. Make one with New.
 type Client struct {
--- a/internal/bundle/errors.go
+++ b/internal/bundle/errors.go
@@ -1,10 +1,10 @@
 package bundle
 
-import "errors"
+import "github.com/rotisserie/eris"
 
 var (
 	// ErrLarge says that a value is larger than the platform holds.
-	ErrLarge = errors.New("larger than a megabyte")
+	ErrLarge = eris.New("larger than a megabyte")
 	// ErrKey says that a key file does not hold an Ed25519 key.
-	ErrKey = errors.New("not an Ed25519 key in hex")
+	ErrKey = eris.New("not an Ed25519 key in hex")
 )
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"runtime"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/lycheehead/lycheehead/internal/bundle"
 	"github.com/lycheehead/lycheehead/internal/peerquic"
@@ -35,7 +36,7 @@
 )
 
 // ErrBusy says that calls still ran when a stop's bound had passed.
-var ErrBusy = errors.New("calls still run")
+var ErrBusy = eris.New("calls still run")
 
 // Daemon is the process in a backend server's slot. Make one with New.
 type Daemon struct {
@@ -55,6 +56,9 @@
 // New makes a daemon of checked settings and opens its address for other
 // daemons. Start lets it work.
 func New(s *schema.Settings, id *peerquic.Identity, log hclog.Logger) (*Daemon, error) {
+	// The log of the HTTP library knows nothing of keys: what it wrote would have
+	// to be searched for them.
+	logx.Disable()
 	signers, err := settings.Signers(s)
 	if err != nil {
 		return nil, fmt.Errorf("make daemon: %w", err)
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -193,10 +193,8 @@
 		e.release()
 		return e.failed(ctx, o, reason)
 	}
-	if !w.hold {
-		if err := e.send(body); err != nil {
-			return abandon(caller.Unknown, caller.LostAnswer)
-		}
+	if err := e.begin(w, body); err != nil {
+		return abandon(caller.Unknown, caller.LostAnswer)
 	}
 	sent := !w.hold
 	for {
@@ -218,6 +216,14 @@
 	}
 }
 
+// begin sends the call, with its body unless that is held back.
+func (e *exchange) begin(w *work, body *payload) error {
+	if w.hold {
+		return e.stream.Flush()
+	}
+	return e.send(body)
+}
+
 func (e *exchange) send(body *payload) error {
 	if _, err := io.Copy(e.stream, body.reader()); err != nil {
 		return err
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -125,7 +125,10 @@
 	w := decodeWork(m, time.Now())
 	admitted := func() error {
 		reply := schema.Reply_builder{Admitted: proto.Bool(true)}.Build()
-		return s.SendAnswer(schema.Answer_builder{Reply: reply}.Build())
+		if err := s.SendAnswer(schema.Answer_builder{Reply: reply}.Build()); err != nil {
+			return err
+		}
+		return s.Flush()
 	}
 	r := d.keeper.serve(ctx, w, s, admitted)
 	if r.body != nil {
@@ -135,12 +138,45 @@
 		s.Abort()
 		return
 	}
-	if r.body != nil {
-		if _, err := io.Copy(s, r.body); err != nil {
-			s.Abort()
-			return
-		}
+	if err := sendBody(s, r); err != nil {
+		s.Abort()
+		return
 	}
 	_ = s.CloseSend()
 	s.StopReading()
 }
+
+// smallBody is the size in bytes up to which an answer's head waits for its
+// body, to go out together.
+const smallBody = 2 << 10
+
+// sendBody passes an answer's body on as it comes.
+func sendBody(s *peerquic.Stream, r *reply) error {
+	if r.body == nil {
+		return nil
+	}
+	if r.length < 0 || r.length > smallBody {
+		if err := s.Flush(); err != nil {
+			return err
+		}
+	}
+	buf := make([]byte, bodyBuffer)
+	for {
+		n, err := r.body.Read(buf)
+		if n > 0 {
+			if _, err := s.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		switch {
+		case err == io.EOF: //nolint:errorlint // readers return io.EOF itself
+			return nil
+		case err != nil:
+			return err
+		case r.length < 0 || r.length > smallBody:
+			if err := s.Flush(); err != nil {
+				return err
+			}
+		}
+	}
+}
--- a/internal/daemon/keeper.go
+++ b/internal/daemon/keeper.go
@@ -44,8 +44,8 @@
 	connections = 100
 	// deathTimeout bounds telling another daemon of a death.
 	deathTimeout = time.Second
-	// bodyBuffer is the size in bytes of the reads of a body held back.
-	bodyBuffer = 4 << 10
+	// bodyBuffer is the size in bytes of the reads of bodies.
+	bodyBuffer = 16 << 10
 )
 
 // gate is the admission to a backend server, whatever its window.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -23,7 +25,9 @@
 }
 
 func newMetrics(name, centre string) *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own lets several daemons live in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "lycheehead",
 		Tags:            map[string]string{"slot": name, "centre": centre},
@@ -31,7 +35,7 @@
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportEvery)
-	return &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+	return &metrics{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
 }
 
 func (m *metrics) close() { _ = m.closer.Close() }
--- a/internal/daemon/payload.go
+++ b/internal/daemon/payload.go
@@ -2,9 +2,10 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
 // keepMost is how many bytes of a body are kept to be sent again.
@@ -56,4 +57,4 @@
 }
 
 // errCut says that a body ended before its length.
-var errCut = errors.New("body was cut")
+var errCut = eris.New("body was cut")
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -138,6 +138,8 @@
 	case err != nil:
 		s.told = false
 		return ending{kind: failed, reason: "cut"}
+	case r.plan.GetDirect() && resp.StatusCode == http.StatusOK:
+		return ending{kind: served}
 	case outcome == caller.Ran.String():
 		s.outcome = caller.Ran
 	case outcome == caller.NotRun.String():
--- a/internal/peerquic/ask.go
+++ b/internal/peerquic/ask.go
@@ -32,9 +32,9 @@
 	return a, nil
 }
 
-// Open sends a request to a slot's daemon and leaves the stream open. An error
-// that is ErrUnreachable says that nothing was sent. done is to be called once
-// the stream is no longer used.
+// Open opens a stream to a slot's daemon and writes a request to it, which goes
+// out with Flush or CloseSend. An error that is ErrUnreachable says that nothing
+// was sent. done is to be called once the stream is no longer used.
 func (m *Mesh) Open(ctx context.Context, name, address string, r *schema.Request) (*Stream, func(), error) {
 	conn, err := m.connect(ctx, name, address)
 	if err != nil {
@@ -48,7 +48,7 @@
 	m.use(name, 1)
 	s := newStream(stream, &m.count)
 	s.call = r.HasCall()
-	n, err := writeMessage(stream, r)
+	n, err := writeMessage(s.writer, r)
 	m.count.add(s.call, 0, n)
 	if err != nil {
 		m.use(name, -1)
--- a/internal/peerquic/frame.go
+++ b/internal/peerquic/frame.go
@@ -12,8 +12,11 @@
 // messageMost is the largest message in bytes: a whole bundle with room.
 const messageMost = 16 << 20
 
-// readSize is the read buffer of a stream in bytes.
-const readSize = 4 << 10
+// readSize and writeSize are the buffers of a stream in bytes.
+const (
+	readSize  = 4 << 10
+	writeSize = 4 << 10
+)
 
 func writeMessage(w io.Writer, m proto.Message) (int, error) {
 	n, err := protodelim.MarshalTo(w, m)
--- a/internal/peerquic/stream.go
+++ b/internal/peerquic/stream.go
@@ -19,20 +19,27 @@
 type Stream struct {
 	stream *quic.Stream
 	reader *bufio.Reader
+	// writer gathers a message with what follows it, to send few packets.
+	writer *bufio.Writer
 	count  *counters
 	call   bool
 }
 
 func newStream(s *quic.Stream, count *counters) *Stream {
-	return &Stream{stream: s, reader: bufio.NewReaderSize(s, readSize), count: count}
+	return &Stream{
+		stream: s,
+		reader: bufio.NewReaderSize(s, readSize),
+		writer: bufio.NewWriterSize(s, writeSize),
+		count:  count,
+	}
 }
 
 // Context ends when the other side gives the stream up or is lost.
 func (s *Stream) Context() context.Context { return s.stream.Context() }
 
-// SendAnswer writes an answer's message.
+// SendAnswer writes an answer's message. It may wait for Flush or CloseSend.
 func (s *Stream) SendAnswer(a *schema.Answer) error {
-	n, err := writeMessage(s.stream, a)
+	n, err := writeMessage(s.writer, a)
 	s.count.add(s.call, 0, n)
 	if err != nil {
 		return fmt.Errorf("answer: %w", err)
@@ -60,17 +67,28 @@
 	return n, err
 }
 
-// Write writes the body.
+// Write writes the body. It may wait for Flush or CloseSend.
 func (s *Stream) Write(p []byte) (int, error) {
-	n, err := s.stream.Write(p)
+	n, err := s.writer.Write(p)
 	if err != nil {
 		return n, fmt.Errorf("write body: %w", err)
 	}
 	return n, nil
 }
 
+// Flush sends what has been written.
+func (s *Stream) Flush() error {
+	if err := s.writer.Flush(); err != nil {
+		return fmt.Errorf("flush: %w", err)
+	}
+	return nil
+}
+
 // CloseSend ends what this side sends: the body is whole.
 func (s *Stream) CloseSend() error {
+	if err := s.Flush(); err != nil {
+		return err
+	}
 	if err := s.stream.Close(); err != nil {
 		return fmt.Errorf("end stream: %w", err)
 	}
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -38,13 +38,13 @@
 
 var (
 	// ErrUnchanged says that a watch ended without a higher revision.
-	ErrUnchanged = errors.New("unchanged")
+	ErrUnchanged = eris.New("unchanged")
 	// ErrMissing says that the platform has no such value.
-	ErrMissing = errors.New("no such value")
+	ErrMissing = eris.New("no such value")
 	// ErrBusy says that the platform counts too many calls.
-	ErrBusy = errors.New("platform is busy")
+	ErrBusy = eris.New("platform is busy")
 	// ErrStatus says that the platform answered otherwise than agreed.
-	ErrStatus = errors.New("unexpected answer")
+	ErrStatus = eris.New("unexpected answer")
 )
 
 // Client reads one platform at one or several addresses. Make one with New.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,13 +2,14 @@
 
 import (
 	"crypto/ed25519"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lycheehead/lycheehead/internal/bundle"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/yaml"
@@ -181,4 +182,4 @@
 }
 
 // ErrFiles says that a file named in the settings cannot be used.
-var ErrFiles = errors.New("file named in the settings")
+var ErrFiles = eris.New("file named in the settings")
--- a/internal/standin/errors.go
+++ b/internal/standin/errors.go
@@ -1,5 +1,5 @@
 package standin
 
-import "errors"
+import "github.com/rotisserie/eris"
 
-var errListen = errors.New("stand-in cannot listen")
+var errListen = eris.New("stand-in cannot listen")
--- a/pkg/backend/gate.go
+++ b/pkg/backend/gate.go
@@ -55,6 +55,7 @@
 	clock   float64
 	running int
 	waiting int
+	slots   int
 	closed  bool
 }
 
@@ -85,9 +86,9 @@
 	return t, t.state
 }
 
-// room is how many requests may wait: one for each that runs, so that the wait
-// is about as long as a request takes.
-func (g *Gate[W]) room() int { return g.window.Size() }
+// room is how many requests may wait: one for each slot, so that with a full
+// window the wait is about as long as a request takes.
+func (g *Gate[W]) room() int { return max(g.window.Size(), g.slots) }
 
 func (g *Gate[W]) line(customer string, weight int) *line {
 	l, ok := g.lines[customer]
@@ -225,6 +226,7 @@
 func (g *Gate[W]) Resize(now time.Time, slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.slots = slots
 	g.window.Resize(slots)
 	g.next(now)
 }
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -1,20 +1,21 @@
 package platform
 
 import (
-	"errors"
 	"fmt"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 var (
 	// ErrSignature says that a sign-off does not match its manifest.
-	ErrSignature = errors.New("signature does not match")
+	ErrSignature = eris.New("signature does not match")
 	// ErrSigner says that a manifest was signed by a key that does not count.
-	ErrSigner = errors.New("signer is not trusted")
+	ErrSigner = eris.New("signer is not trusted")
 	// ErrPart says that a part's content does not match its digest.
-	ErrPart = errors.New("part does not match its digest")
+	ErrPart = eris.New("part does not match its digest")
 	// ErrBase says that a change applies to a manifest that is not held.
-	ErrBase = errors.New("base of the change is not held")
+	ErrBase = eris.New("base of the change is not held")
 )
 
 // Problem is one fault of a bundle.
--- a/pkg/workers/workers.go
+++ b/pkg/workers/workers.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
+
+	"github.com/rotisserie/eris"
 )
 
 // ErrClosed says that the pool has been closed.
-var ErrClosed = errors.New("pool is closed")
+var ErrClosed = eris.New("pool is closed")
 
 // Pool is a fixed number of workers over one bounded queue.
 type Pool struct {
