Let a limit move only once all who had a share have been heard

Cause: a purse that gained waited for the slots that lose between the two splits it knew itself. A daemon that skipped a version did not know whom that version had given a share, and raised beside it. Ruled out by reading the rule, not by a run of its own: late tokens and restarts, which have properties of their own that hold.

Change: a move has two steps. All slots known to have had a share are heard at a version with the new split; then all holders of the new split are heard to have heard all whom they know. A slot that the platform's list no longer has counts as heard.

Membership no longer lets a lagging list replace the address that a process told of itself; the script showed it going back to the old one.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 # Formatter, linters, vet, and all tests with the race and lock order checks.
 test: lint
 	$(GO) test $(TEST_FLAGS) ./...
+	$(GO) test ./pkg/...
 
 lint: $(BIN)/gofumpt $(BIN)/revive
 	@files=$$($(BIN)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,7 +99,15 @@
 	c := d.core
 	d.feed = newFeed(c, now)
 	d.ledger = newLedger(c, now)
-	d.spread = &spread{core: c, feed: d.feed, heard: d.ledger.vault.Heard, awaited: d.ledger.vault.Awaited}
+	vault := d.ledger.vault
+	d.spread = &spread{
+		core:    c,
+		feed:    d.feed,
+		heard:   vault.Heard,
+		cleared: vault.Clear,
+		gone:    vault.Gone,
+		awaited: vault.Awaited,
+	}
 	d.feed.spread = d.spread
 	d.feed.applied = d.adopt
 	d.keeper = newKeeper(c, d.feed, newGate(c.settings))
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -38,7 +38,11 @@
 	feed *feed
 	turn int
 	// heard is called with the version that a slot's daemon told of itself.
-	heard func(now time.Time, name string, number uint64)
+	heard func(now time.Time, name string, number uint64, cleared bool)
+	// cleared says whether this daemon has heard all whom it knows.
+	cleared func() bool
+	// gone is called for awaited slots that have no process any more.
+	gone func(now time.Time, name string)
 	// awaited returns the slots whose version is waited for.
 	awaited func() []string
 }
@@ -158,10 +162,22 @@
 		}
 		now := time.Now()
 		s.turn++
-		for _, name := range s.awaited() {
+		s.chase(now)
+		if name, ok := s.neighbour(now); ok {
 			s.compare(name)
 		}
-		if name, ok := s.neighbour(now); ok {
+	}
+}
+
+// chase asks the slots whose word is awaited, unless the platform vouches that
+// they have no process.
+func (s *spread) chase(now time.Time) {
+	for _, name := range s.awaited() {
+		if i, ok := s.members.Get(name); ok && i.Gone() {
+			s.gone(now, name)
+			continue
+		}
+		if s.members.Reachable(now, name) {
 			s.compare(name)
 		}
 	}
@@ -226,6 +242,7 @@
 		Instances: encodeInstances(instances),
 		Members:   s.members.Digests(),
 		Settled:   proto.Bool(s.feed.ready(now)),
+		Clear:     proto.Bool(s.cleared()),
 	}.Build()
 	if age, ok := s.feed.age(now); ok {
 		g.SetConfirmed(durationpb.New(age))
@@ -239,7 +256,7 @@
 		s.members.Merge([]peer.Instance{from})
 	}
 	s.members.Merge(decodeInstances(g.GetInstances()))
-	s.heard(now, name, g.GetVersion())
+	s.heard(now, name, g.GetVersion(), g.GetClear())
 	same := platform.DigestFrom(g.GetDigest()) == s.store.Version().Digest()
 	if g.HasConfirmed() && same {
 		s.feed.confirm(now.Add(-g.GetConfirmed().AsDuration()))
--- a/pkg/caller/claims.go
+++ b/pkg/caller/claims.go
@@ -11,7 +11,7 @@
 )
 
 // skew is how far clocks of callers and daemons may differ.
-const skew = time.Second
+const skew = 2 * time.Second
 
 // Vote is a holder's answer to a claim.
 type Vote uint8
@@ -97,13 +97,21 @@
 	return r.vote
 }
 
-// remembers says whether this daemon would know of an earlier claim of key.
+// remembers says whether this daemon would know of an earlier claim of key. A
+// key that tells when it was made is judged by that, for as long as records are
+// kept: no holder vouches for it before that instant, so a holder that was there
+// at that instant has seen every claim. Another key is judged by the time of
+// distrust alone.
 func (c *Claims) remembers(now time.Time, p platform.Policy, key string) bool {
-	if now.Sub(c.start) >= p.Distrust() {
-		return true
-	}
+	age := now.Sub(c.start)
 	made, ok := madeAt(key)
-	return ok && made.After(c.start.Add(skew)) && made.Before(now.Add(skew))
+	if !ok {
+		return age >= p.Distrust()
+	}
+	if made.After(now.Add(skew)) {
+		return false
+	}
+	return made.After(c.start.Add(skew)) || age >= p.Retention()
 }
 
 // madeAt returns the instant in a key that is a UUIDv7.
--- a/pkg/customer/split.go
+++ b/pkg/customer/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/pkg/peer"
@@ -60,6 +61,10 @@
 // Validity returns how long a token may be held after it was asked for.
 func (s Split) Validity() time.Duration { return s.validity }
 
+func (s Split) equal(t Split) bool {
+	return s.validity == t.validity && slices.Equal(s.purses, t.purses)
+}
+
 // SplitLimit splits the limit of c over the slots of the bundle, two to each
 // data centre, fewer where the burst is too small to give each a whole token.
 // Slots out of service keep their purses, since others may borrow from them;
--- a/pkg/customer/vault.go
+++ b/pkg/customer/vault.go
@@ -1,7 +1,9 @@
 package customer
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/pkg/lock"
@@ -50,12 +52,9 @@
 	rate, burst float64
 	// queue is how many askers were sent away and are expected again; it
 	// drains at the purse's rate, so that they come back one a token.
-	queue float64
-	// next is what the latest version grants, in force once awaiting is empty.
-	next     Purse
+	queue    float64
+	share    Purse
 	validity time.Duration
-	// awaiting maps the slots that lose to the version that they must reach.
-	awaiting map[string]uint64
 }
 
 // Vault holds the purses that this daemon keeps. Make one with NewVault.
@@ -66,6 +65,7 @@
 	mu     *lock.Mutex
 	purses map[purseID]*held
 	splits map[string]Split
+	moves  map[string]*move
 	number uint64
 }
 
@@ -77,12 +77,12 @@
 		mu:     lock.New(lock.Purses),
 		purses: make(map[purseID]*held),
 		splits: make(map[string]Split),
+		moves:  make(map[string]*move),
 	}
 }
 
-// Adopt takes over the limits of a version. It returns the slots whose word is
-// awaited before raised purses count.
-func (v *Vault) Adopt(now time.Time, cfg *platform.Config) []string {
+// Adopt takes over the limits of a version.
+func (v *Vault) Adopt(now time.Time, cfg *platform.Config) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	first := v.number == 0
@@ -91,13 +91,15 @@
 	splits := make(map[string]Split, len(cfg.Customers()))
 	for _, c := range cfg.Customers() {
 		split := SplitLimit(cfg, c)
-		losers := v.losers(cfg, c.Name(), split, first)
 		splits[c.Name()] = split
+		if old, known := v.splits[c.Name()]; !first && known {
+			v.follow(cfg, c.Name(), old, split)
+		}
 		for _, p := range split.purses {
 			if p.holder == v.self {
 				id := purseID{customer: c.Name(), index: p.index}
 				kept[id] = true
-				v.change(now, id, p, split.validity, losers)
+				v.change(now, id, p, split.validity)
 			}
 		}
 	}
@@ -106,62 +108,65 @@
 			delete(v.purses, id)
 		}
 	}
+	for name := range v.moves {
+		if _, ok := splits[name]; !ok {
+			delete(v.moves, name)
+		}
+	}
 	v.splits = splits
-	return v.awaited()
+	v.settle(now)
 }
 
-// losers returns the slots that hold less of a customer's limit in a new split
-// than in the one before.
-func (v *Vault) losers(cfg *platform.Config, customer string, next Split, first bool) map[string]uint64 {
-	losers := make(map[string]uint64)
-	if first {
-		return losers
-	}
-	after := make(map[string]Purse, len(next.purses))
-	for _, p := range next.purses {
-		after[p.holder] = p
-	}
-	for _, p := range v.splits[customer].purses {
-		if centre, ok := cfg.Centre(p.centre); !ok || centre.Lost() {
-			continue
-		}
-		q := after[p.holder]
-		if p.holder != v.self && (q.rate < p.rate || q.burst < p.burst) {
-			losers[p.holder] = v.number
+// follow begins or goes on with the move of a customer's limit.
+func (v *Vault) follow(cfg *platform.Config, customer string, old, next Split) {
+	m, moving := v.moves[customer]
+	if next.equal(old) {
+		if moving {
+			m.seen[v.number] = true
 		}
+		return
+	}
+	if !moving {
+		m = &move{known: make(map[string]bool)}
+		v.moves[customer] = m
 	}
-	return losers
+	m.restart(cfg, v.self, v.number, old, next)
 }
 
-// change moves a purse to its share in a new version: a lower share counts at
-// once, a higher one after all losers have been heard.
-func (v *Vault) change(now time.Time, id purseID, p Purse, validity time.Duration, losers map[string]uint64) {
+// change gives a purse its share in a new version. Until a move is over the
+// purse keeps to the lowest share since before the move.
+func (v *Vault) change(now time.Time, id purseID, p Purse, validity time.Duration) {
 	h, ok := v.purses[id]
 	if !ok {
-		h = &held{at: now, awaiting: make(map[string]uint64)}
+		h = &held{at: now}
 		v.purses[id] = h
-		if len(losers) == 0 {
+		if _, moving := v.moves[id.customer]; !moving {
 			h.rate, h.burst = p.rate, p.burst
 		}
 	}
 	h.fill(now)
-	h.next = p
+	h.share = p
 	h.validity = validity
-	for name, number := range losers {
-		h.awaiting[name] = number
-	}
 	h.rate = math.Min(h.rate, p.rate)
 	h.burst = math.Min(h.burst, p.burst)
-	h.settle()
+	h.level = math.Min(h.level, h.burst)
 }
 
-// settle puts the latest share in force once nobody is awaited.
-func (h *held) settle() {
-	if len(h.awaiting) == 0 {
-		h.rate = h.next.rate
-		h.burst = h.next.burst
+// settle ends the moves that are over and gives their purses the whole share.
+func (v *Vault) settle(now time.Time) {
+	done := v.cleared()
+	for customer, m := range v.moves {
+		if !m.over(done) {
+			continue
+		}
+		delete(v.moves, customer)
+		for id, h := range v.purses {
+			if id.customer == customer {
+				h.fill(now)
+				h.rate, h.burst = h.share.rate, h.share.burst
+			}
+		}
 	}
-	h.level = math.Min(h.level, h.burst)
 }
 
 // fill adds the tokens gained up to now. An instant before the last one adds
@@ -175,40 +180,57 @@
 	}
 }
 
-// Heard notes that a slot's daemon runs a version.
-func (v *Vault) Heard(now time.Time, name string, number uint64) {
+// Heard notes that a slot's daemon runs a version, and whether it is
+// clear.
+func (v *Vault) Heard(now time.Time, name string, number uint64, done bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for _, h := range v.purses {
-		need, awaited := h.awaiting[name]
-		if !awaited || number < need {
-			continue
-		}
-		h.fill(now)
-		delete(h.awaiting, name)
-		h.settle()
+	if len(v.moves) == 0 {
+		return
+	}
+	for _, m := range v.moves {
+		m.heard(name, number, done)
 	}
+	v.settle(now)
 }
 
-// Awaited returns the slots whose word raised purses wait for.
-func (v *Vault) Awaited() []string {
+// Gone notes that the platform vouches that a slot has no process any more.
+func (v *Vault) Gone(now time.Time, name string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.awaited()
+	for _, m := range v.moves {
+		m.gone(name)
+	}
+	v.settle(now)
 }
 
-func (v *Vault) awaited() []string {
-	seen := make(map[string]bool)
-	var names []string
-	for _, h := range v.purses {
-		for name := range h.awaiting {
-			if !seen[name] {
-				seen[name] = true
-				names = append(names, name)
-			}
+// Clear says whether all slots that this daemon knows to have had a share in a
+// limit that moves have been heard to follow.
+func (v *Vault) Clear() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.cleared()
+}
+
+func (v *Vault) cleared() bool {
+	for _, m := range v.moves {
+		if len(m.known) > 0 {
+			return false
 		}
 	}
-	return names
+	return true
+}
+
+// Awaited returns the slots whose word moves wait for, by name.
+func (v *Vault) Awaited() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	names := make(map[string]bool)
+	for _, m := range v.moves {
+		maps.Copy(names, m.known)
+		maps.Copy(names, m.holders)
+	}
+	return slices.Sorted(maps.Keys(names))
 }
 
 // Lend takes up to count whole tokens from a purse.
--- a/pkg/peer/members.go
+++ b/pkg/peer/members.go
@@ -81,12 +81,15 @@
 func (i Instance) Incarnation() uint64 { return i.incarnation }
 
 // newer says whether i replaces old. What a process tells of itself goes
-// before the list; among equals leaving is final.
+// before the list; among equals leaving is final, and the rest only makes the
+// order total.
 func (i Instance) newer(old Instance) bool {
 	c := cmp.Or(
 		cmp.Compare(i.incarnation, old.incarnation),
 		cmp.Compare(i.revision, old.revision),
 		compareBool(i.leaving, old.leaving),
+		compareBool(i.gone, old.gone),
+		cmp.Compare(i.peer, old.peer),
 	)
 	return c > 0
 }
@@ -104,11 +107,25 @@
 // member is an entry with what this daemon itself has seen of it.
 type member struct {
 	instance Instance
+	// listed is what the list said last; bylist says that its addresses are
+	// tried, since those that the process told of itself have failed.
+	listed   Instance
+	bylist   bool
 	rounds   int
 	failures int
 	until    time.Time
 }
 
+// current returns the entry with the addresses to use now.
+func (e *member) current() Instance {
+	i := e.instance
+	if e.bylist {
+		i.peer = e.listed.peer
+		i.caller = e.listed.caller
+	}
+	return i
+}
+
 // Members is the view. Make one with NewMembers.
 type Members struct {
 	mu       *lock.Mutex
@@ -173,8 +190,8 @@
 	return true
 }
 
-// list merges one entry of the list. A process that told its incarnation keeps
-// its address until the list has moved past the one that it was first in.
+// list merges one entry of the list. Of a process that has told of itself the
+// list only tells whether it is leaving: its addresses may lag behind.
 func (m *Members) list(revision uint64, i Instance) {
 	if i.name == m.self.name {
 		return
@@ -182,15 +199,20 @@
 	e, known := m.entries[i.name]
 	if !known {
 		m.set(i.At(revision, 0))
+		m.entries[i.name].listed = i
 		return
 	}
-	old := e.instance
-	same := old.peer == i.peer && old.caller == i.caller && old.centre == i.centre &&
-		old.service == i.service && old.leaving == i.leaving && !old.gone
-	if same {
-		return
+	e.listed = i
+	next := i
+	if e.instance.incarnation > 0 {
+		next = e.instance
+		next.leaving = next.leaving || i.leaving
+	}
+	next.gone = false
+	next = next.At(e.instance.revision, e.instance.incarnation)
+	if next != e.instance {
+		m.set(next.At(revision, e.instance.incarnation))
 	}
-	m.set(i.At(revision, old.incarnation))
 }
 
 // Merge takes in entries that another daemon passed on.
@@ -208,8 +230,13 @@
 	}
 }
 
+// set replaces an entry and keeps what the list said of it.
 func (m *Members) set(i Instance) {
-	m.entries[i.name] = &member{instance: i, rounds: rumourRounds}
+	next := &member{instance: i, rounds: rumourRounds}
+	if e, known := m.entries[i.name]; known {
+		next.listed = e.listed
+	}
+	m.entries[i.name] = next
 }
 
 // Rumours returns the entries that changed lately, each for a few calls.
@@ -296,7 +323,7 @@
 	if !ok {
 		return Instance{}, false
 	}
-	return e.instance, true
+	return e.current(), true
 }
 
 // All returns all entries by name, the daemon's own included.
@@ -305,7 +332,7 @@
 	defer m.mu.Unlock()
 	list := make([]Instance, 0, len(m.entries))
 	for _, e := range m.entries {
-		list = append(list, e.instance)
+		list = append(list, e.current())
 	}
 	slices.SortFunc(list, func(a, b Instance) int { return cmp.Compare(a.name, b.name) })
 	return list
@@ -332,7 +359,8 @@
 }
 
 // Failed notes that a daemon could not be reached. It is left alone for a
-// while that doubles with each failure.
+// while that doubles with each failure. Where the list has other addresses than
+// the daemon told of itself, they take turns.
 func (m *Members) Failed(now time.Time, name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -343,6 +371,9 @@
 	wait := min(backoffFirst<<min(e.failures, 10), backoffLast)
 	e.failures++
 	e.until = now.Add(wait)
+	if e.listed.peer != "" && e.listed.peer != e.instance.peer {
+		e.bylist = !e.bylist
+	}
 }
 
 // Answered notes that a daemon was reached.
--- /dev/null
+++ b/pkg/peer/peer_test.go
@@ -0,0 +1,156 @@
+package peer_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"github.com/lycheehead/lycheehead/internal/fuzz"
+	"github.com/lycheehead/lycheehead/pkg/peer"
+)
+
+// TestMembers runs scripts against the view of the daemon named self.
+func TestMembers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/members", func(t *testing.T, d *datadriven.TestData) string {
+		m := peer.NewMembers(entry("self", "muc", "1"))
+		now := time.Unix(0, 0)
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			f := strings.Fields(line)
+			switch f[0] {
+			case "list":
+				fmt.Fprintf(&out, "%s: counted %t\n", line, m.Listed(number(t, f[1]), entries(t, f[2:], 0)))
+			case "told":
+				m.Merge(entries(t, f[2:], number(t, f[1])))
+			case "failed":
+				m.Failed(now, f[1])
+			case "answered":
+				m.Answered(f[1])
+			case "after":
+				wait, err := time.ParseDuration(f[1])
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(wait)
+			case "leave":
+				m.Leave()
+			}
+			fmt.Fprintf(&out, "%s: live %v, at %s\n", line, m.Live(now, "muc"), addresses(m))
+		}
+		return out.String()
+	})
+}
+
+func entry(name, centre, port string) peer.Instance {
+	return peer.NewInstance(name, "doku", centre, "127.0.0.1:"+port, "127.0.0.1:9"+port)
+}
+
+// entries reads name@port, name@port! for one that is leaving.
+func entries(t *testing.T, fields []string, incarnation uint64) []peer.Instance {
+	var list []peer.Instance
+	for _, f := range fields {
+		name, port, ok := strings.Cut(f, "@")
+		if !ok {
+			t.Fatalf("%q is not name@port", f)
+		}
+		port, leaving := strings.CutSuffix(port, "!")
+		list = append(list, entry(name, "muc", port).At(0, incarnation).With(leaving, false))
+	}
+	return list
+}
+
+func number(t *testing.T, text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func addresses(m *peer.Members) string {
+	var list []string
+	for _, i := range m.All() {
+		list = append(list, i.Name()+"@"+strings.TrimPrefix(i.Peer(), "127.0.0.1:"))
+	}
+	return strings.Join(list, " ")
+}
+
+// TestPeers runs properties of the view and of the choices made by it.
+func TestPeers(t *testing.T) {
+	fuzz.Run(t, "testdata/peers", map[string]fuzz.Property{
+		"merge": mergeOrder,
+		"tree":  treeReaches,
+		"rank":  rankStable,
+	})
+}
+
+// mergeOrder checks that views which heard the same in any order are the same.
+func mergeOrder(t *rapid.T, _ bool) {
+	var heard []peer.Instance
+	for range rapid.IntRange(1, 20).Draw(t, "entries") {
+		i := entry(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), "muc", "1").
+			At(rapid.Uint64Range(0, 3).Draw(t, "revision"), rapid.Uint64Range(0, 3).Draw(t, "incarnation")).
+			With(rapid.Bool().Draw(t, "leaving"), rapid.Bool().Draw(t, "gone"))
+		heard = append(heard, i)
+	}
+	var views [][]byte
+	for range 2 {
+		m := peer.NewMembers(entry("self", "muc", "1"))
+		for _, i := range rapid.Permutation(heard).Draw(t, "order") {
+			m.Merge([]peer.Instance{i})
+		}
+		views = append(views, m.Digests())
+	}
+	if !slices.Equal(views[0], views[1]) {
+		t.Fatalf("views differ after the same entries")
+	}
+}
+
+// treeReaches checks that a push reaches every daemon once.
+func treeReaches(t *rapid.T, _ bool) {
+	var names []string
+	for i := range rapid.IntRange(1, 200).Draw(t, "daemons") {
+		names = append(names, fmt.Sprint("d", i))
+	}
+	fanout := rapid.IntRange(1, 6).Draw(t, "fanout")
+	order := peer.Rank("version", names)
+	reached := map[string]int{order[0]: 1}
+	for todo := order[:1]; len(todo) > 0; todo = todo[1:] {
+		for _, child := range peer.Children(order, todo[0], fanout) {
+			reached[child]++
+			todo = append(slices.Clone(todo), child)
+		}
+	}
+	for _, name := range names {
+		if reached[name] != 1 {
+			t.Fatalf("%s is reached %d times", name, reached[name])
+		}
+	}
+}
+
+// rankStable checks that a name that goes moves no other past a third.
+func rankStable(t *rapid.T, _ bool) {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{3}"), 2, 30, rapid.ID).Draw(t, "names")
+	seed := rapid.String().Draw(t, "seed")
+	gone := rapid.SampledFrom(names).Draw(t, "gone")
+	without := func(list []string) []string {
+		return slices.DeleteFunc(slices.Clone(list), func(n string) bool { return n == gone })
+	}
+	if got, want := peer.Rank(seed, without(names)), without(peer.Rank(seed, names)); !slices.Equal(got, want) {
+		t.Fatalf("got %v, want %v", got, want)
+	}
+}
+
+func ExampleTop() {
+	daemons := []string{"doku-1", "doku-2", "termin-1", "termin-2"}
+	before := peer.Top("muc", daemons, 2)
+	after := peer.Top("muc", append(daemons, "messung-1"), 2)
+	fmt.Println(len(before), len(after), before[0] == after[0] || after[0] == "messung-1")
+	// Output: 2 2 true
+}
--- /dev/null
+++ b/pkg/upstream/router_test.go
@@ -0,0 +1,106 @@
+package upstream_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
+)
+
+// mesh is three data centres in two regions with two backend servers each; out
+// names what is out of service.
+func mesh(t testing.TB, out string) *platform.Config {
+	d := platform.NewDraft(1)
+	for _, c := range []struct{ name, region string }{{"muc", "bayern"}, {"aug", "bayern"}, {"wien", "ost"}} {
+		d.AddCentre(platform.NewCentre(c.name, c.region, c.name == out, false))
+		for i := range 2 {
+			name := c.name + "-" + strconv.Itoa(i+1)
+			d.AddBackend(platform.NewBackend(name, "doku", c.name, 10, name == out))
+		}
+	}
+	cfg, err := d.Config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// TestRouter runs scripts against the router of a daemon in muc and tells how a
+// hundred requests are spread that are each ended before the next.
+func TestRouter(t *testing.T) {
+	datadriven.RunTest(t, "testdata/router", func(t *testing.T, d *datadriven.TestData) string {
+		out, down := "", ""
+		d.MaybeScanArgs(t, "out", &out)
+		d.MaybeScanArgs(t, "down", &down)
+		cfg := mesh(t, out)
+		r := upstream.NewRouter(upstream.ByLoad{}, "door", "muc")
+		usable := func(name string) bool { return name != down }
+		now := time.Unix(0, 0)
+		rnd := rand.New(rand.NewPCG(1, 1))
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			f := strings.Fields(line)
+			if len(f) == 0 {
+				continue
+			}
+			switch f[0] {
+			case "load":
+				n, err := strconv.Atoi(f[2])
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Done(now, f[1], upstream.Answered, upstream.NewLoad(n, 0, 10))
+			case "refused":
+				r.Done(now, f[1], upstream.Refused, upstream.Load{})
+			case "left":
+				r.Done(now, f[1], upstream.Left, upstream.Load{})
+			case "failed":
+				r.Done(now, f[1], upstream.Failed, upstream.Load{})
+			case "after":
+				wait, err := time.ParseDuration(f[1])
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(wait)
+			}
+		}
+		counts := make(map[string]int)
+		for range 100 {
+			c, ok := r.Pick(now, rnd, cfg, "doku", usable, nil)
+			if !ok {
+				return "none\n"
+			}
+			counts[c.Name()]++
+			r.Done(now, c.Name(), upstream.Answered, upstream.Load{})
+		}
+		return fmt.Sprintln(strings.TrimPrefix(fmt.Sprint(counts), "map"))
+	})
+}
+
+// BenchmarkPick measures one choice among a service's backend servers.
+func BenchmarkPick(b *testing.B) {
+	cfg := mesh(b, "")
+	r := upstream.NewRouter(upstream.ByLoad{}, "door", "muc")
+	rnd := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	for b.Loop() {
+		c, _ := r.Pick(now, rnd, cfg, "doku", func(string) bool { return true }, nil)
+		r.Done(now, c.Name(), upstream.Answered, upstream.Load{})
+	}
+}
+
+func ExampleByLoad() {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	candidates := []upstream.Candidate{
+		upstream.NewCandidate("muc-1", 0, 0.9),
+		upstream.NewCandidate("aug-1", 1, 0.1),
+	}
+	fmt.Println(candidates[upstream.ByLoad{}.Choose(rnd, candidates)].Name())
+	// Output: aug-1
+}
