--- a/cmd/standin/publish.go
+++ b/cmd/standin/publish.go
@@ -7,18 +7,23 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheehead/lycheehead/internal/bundle"
 	"github.com/lycheehead/lycheehead/internal/platformhttp"
 )
 
 var errRefused = eris.New("platform refused")
 
+const stampMode = 0o644
+
 type publishCommand struct {
 	To        string `required:"" help:"The stand-in platform's address."`
 	Release   string `help:"Folder of a signed bundle."`
 	Instances string `help:"File with an instance list in JSON."`
+	Stamp     string `help:"File to which the version and the instant are appended before its head is published."`
 	Mode      string `help:"How the platform answers from now on: ok, away, slow, stale or older."`
 }
 
@@ -55,7 +60,33 @@
 			return err
 		}
 	}
-	return c.file(filepath.Join(c.Release, "head"), platformhttp.HeadKey)
+	head := filepath.Join(c.Release, "head")
+	if err := c.stamp(head); err != nil {
+		return err
+	}
+	return c.file(head, platformhttp.HeadKey)
+}
+
+// stamp notes when a version is published.
+func (c *publishCommand) stamp(head string) error {
+	if c.Stamp == "" {
+		return nil
+	}
+	data, err := os.ReadFile(head)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	m, err := bundle.DecodeManifest(data)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	f, err := os.OpenFile(c.Stamp, os.O_WRONLY|os.O_CREATE|os.O_APPEND, stampMode)
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	_, err = fmt.Fprintln(f, m.Version().Number(), time.Now().UnixNano())
+	return err
 }
 
 func (c *publishCommand) file(path, key string) error {
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -31,6 +31,7 @@
 // ledger borrows limit tokens and claims idempotency keys.
 type ledger struct {
 	*core
+	planner     *customer.Planner
 	vault       *customer.Vault
 	wallet      *customer.Wallet
 	static      *customer.Static
@@ -39,10 +40,12 @@
 }
 
 func newLedger(c *core, now time.Time) *ledger {
+	planner := customer.NewPlanner()
 	l := &ledger{
 		core:        c,
-		vault:       customer.NewVault(c.self.Name()),
-		wallet:      customer.NewWallet(c.self.Name(), c.self.Centre()),
+		planner:     planner,
+		vault:       customer.NewVault(c.self.Name(), planner),
+		wallet:      customer.NewWallet(c.self.Name(), c.self.Centre(), planner),
 		claims:      caller.NewClaims(now),
 		electorates: caller.NewElectorates(),
 	}
@@ -57,6 +60,7 @@
 	l.vault.Adopt(now, cfg)
 	l.wallet.Sweep(cfg)
 	l.electorates.Adopt(now, cfg)
+	l.planner.Sweep(cfg.Number())
 }
 
 // sweep forgets what has ended.
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -29,7 +29,10 @@
 	askTimeout     = time.Second
 	pullTimeout    = 3 * time.Second
 	// rumoursMost is how many entries one comparison passes on.
-	rumoursMost = 16
+	rumoursMost = 8
+	// bucketEvery is how many rounds apart a daemon answers with a whole bucket
+	// of entries that differ: rumours bring most changes before, for less.
+	bucketEvery = 8
 	sourceRoot  = "platform"
 )
 
@@ -239,7 +242,9 @@
 	v := s.store.Version()
 	digest := v.Digest()
 	instances := s.members.Rumours(rumoursMost)
-	instances = append(instances, s.members.Differing(digests, int(s.turn.Load()))...)
+	if turn := int(s.turn.Load()); turn%bucketEvery == 0 {
+		instances = append(instances, s.members.Differing(digests, turn/bucketEvery)...)
+	}
 	g := schema.Gossip_builder{
 		From:      encodeInstance(s.members.Self()),
 		Version:   proto.Uint64(v.Number()),
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -49,6 +49,7 @@
 		P50:      proto.Uint64(uint64(res.times.ValueAtPercentile(median))),
 		P99:      proto.Uint64(uint64(res.times.ValueAtPercentile(high))),
 		Worst:    proto.Uint64(uint64(res.times.Max())),
+		Greedy:   proto.Bool(res.stream.GetGreedy()),
 	}.Build()
 }
 
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -122,11 +122,7 @@
 	took := time.Since(q.due)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.seconds[q.second]
-	if s == nil {
-		s = &second{}
-		r.seconds[q.second] = s
-	}
+	s := r.second(q)
 	s.asked++
 	res.asked++
 	if e.reason != "" {
@@ -147,3 +143,17 @@
 		res.failed++
 	}
 }
+
+// second returns the count of a request's second. Greedy requests count for
+// none.
+func (r *Runner) second(q *request) *second {
+	if q.stream.GetGreedy() {
+		return &second{}
+	}
+	s := r.seconds[q.second]
+	if s == nil {
+		s = &second{}
+		r.seconds[q.second] = s
+	}
+	return s
+}
--- a/pkg/caller/holders.go
+++ b/pkg/caller/holders.go
@@ -12,49 +12,27 @@
 // holders is how many slots keep the record of one key.
 const holders = 3
 
-// Electorate is the slots that may be holders under one version.
+// Electorate is the slots that may be holders under one version. Slots out of
+// service belong to it, so that taking a data centre out moves no record.
 type Electorate struct {
-	centres []string
-	slots   map[string][]string
+	cfg *platform.Config
 }
 
-// NewElectorate returns the electorate of a version. Slots out of service
-// belong to it, so that taking a data centre out moves no record.
-func NewElectorate(cfg *platform.Config) *Electorate {
-	e := &Electorate{slots: make(map[string][]string)}
-	for _, b := range cfg.Backends() {
-		if c, _ := cfg.Centre(b.Centre()); !c.Lost() {
-			e.slots[b.Centre()] = append(e.slots[b.Centre()], b.Name())
-		}
-	}
-	for name, slots := range e.slots {
-		e.centres = append(e.centres, name)
-		slices.Sort(slots)
-	}
-	slices.Sort(e.centres)
-	return e
-}
+// NewElectorate returns the electorate of a version.
+func NewElectorate(cfg *platform.Config) *Electorate { return &Electorate{cfg: cfg} }
 
 func (e *Electorate) equal(f *Electorate) bool {
-	if !slices.Equal(e.centres, f.centres) {
-		return false
-	}
-	for _, name := range e.centres {
-		if !slices.Equal(e.slots[name], f.slots[name]) {
-			return false
-		}
-	}
-	return true
+	return e.cfg.SlotsDigest() == f.cfg.SlotsDigest()
 }
 
 // Holders returns the holders of a customer's key: one in each of three data
 // centres, or more to a data centre where there are fewer.
 func (e *Electorate) Holders(customer, key string) []string {
 	seed := customer + "\x00" + key
-	centres := peer.Rank(seed, e.centres)
+	centres := peer.Top(seed, e.cfg.SlotCentres(), holders)
 	ranked := make([][]string, len(centres))
 	for i, name := range centres {
-		ranked[i] = peer.Top(seed, e.slots[name], holders)
+		ranked[i] = peer.Top(seed, e.cfg.SlotsOf(name), holders)
 	}
 	var names []string
 	for round := range holders {
--- a/pkg/customer/split.go
+++ b/pkg/customer/split.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/platform"
+	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
 const (
@@ -74,11 +76,11 @@
 	holders := holdersOf(cfg, c.Name(), int(burst))
 	n := float64(len(holders))
 	s := Split{validity: validity}
-	for i, b := range holders {
+	for i, h := range holders {
 		s.purses = append(s.purses, Purse{
 			index:  i,
-			holder: b.Name(),
-			centre: b.Centre(),
+			holder: h.slot,
+			centre: h.centre,
 			rate:   rate / n,
 			burst:  burst / n,
 		})
@@ -103,27 +105,70 @@
 
 // holdersOf ranks the data centres for a customer and takes from each its
 // first slots, one round after the other, so that few purses still spread.
-func holdersOf(cfg *platform.Config, customer string, most int) []platform.Backend {
-	slots := make(map[string][]string)
-	for _, b := range cfg.Backends() {
-		if c, _ := cfg.Centre(b.Centre()); !c.Lost() {
-			slots[b.Centre()] = append(slots[b.Centre()], b.Name())
-		}
-	}
-	centres := make([]string, 0, len(slots))
-	for name := range slots {
-		centres = append(centres, name)
-		slots[name] = peer.Top(customer, slots[name], pursesPerCentre)
+func holdersOf(cfg *platform.Config, customer string, most int) []holder {
+	centres := peer.Rank(customer, cfg.SlotCentres())
+	first := make([][]string, len(centres))
+	for i, name := range centres {
+		first[i] = peer.Top(customer, cfg.SlotsOf(name), pursesPerCentre)
 	}
-	centres = peer.Rank(customer, centres)
-	var holders []platform.Backend
+	var holders []holder
 	for round := range pursesPerCentre {
-		for _, name := range centres {
-			if round < len(slots[name]) && len(holders) < most {
-				b, _ := cfg.Backend(slots[name][round])
-				holders = append(holders, b)
+		for i, centre := range centres {
+			if round < len(first[i]) && len(holders) < most {
+				holders = append(holders, holder{slot: first[i][round], centre: centre})
 			}
 		}
 	}
 	return holders
 }
+
+// holder is a slot that keeps a purse.
+type holder struct {
+	slot, centre string
+}
+
+// planKey names what a split follows from, but for the slots.
+type planKey struct {
+	customer string
+	rate     float64
+	burst    int
+}
+
+// plan is a split and the version that it was last asked for with.
+type plan struct {
+	split  Split
+	slots  platform.Digest
+	number uint64
+}
+
+// Planner works out splits and keeps them while the slots and the customer's
+// limit stay the same, since a version seldom changes either. Make one with
+// NewPlanner.
+type Planner struct {
+	plans *table.Table[planKey, plan]
+}
+
+// NewPlanner returns a planner that has kept nothing yet.
+func NewPlanner() *Planner {
+	return &Planner{plans: table.New[planKey, plan](lock.Plans)}
+}
+
+// Split returns SplitLimit of a customer.
+func (p *Planner) Split(cfg *platform.Config, c platform.Customer) Split {
+	key := planKey{customer: c.Name(), rate: c.Rate(), burst: c.Burst()}
+	var s Split
+	p.plans.Update(key, func(old plan, ok bool) (plan, bool) {
+		if !ok || old.slots != cfg.SlotsDigest() {
+			old = plan{split: SplitLimit(cfg, c), slots: cfg.SlotsDigest()}
+		}
+		old.number = max(old.number, cfg.Number())
+		s = old.split
+		return old, true
+	})
+	return s
+}
+
+// Sweep forgets the splits that no version since a number has asked for.
+func (p *Planner) Sweep(number uint64) {
+	p.plans.Sweep(func(_ planKey, v plan) bool { return v.number >= number })
+}
--- a/pkg/customer/vault.go
+++ b/pkg/customer/vault.go
@@ -59,7 +59,8 @@
 
 // Vault holds the purses that this daemon keeps. Make one with NewVault.
 type Vault struct {
-	self string
+	self    string
+	planner *Planner
 
 	// mu, of rank lock.Purses, guards what follows.
 	mu     *lock.Mutex
@@ -71,13 +72,14 @@
 
 // NewVault returns the vault of the slot named self. It is empty: a daemon
 // that starts has no tokens to lend and gains them at its purses' rates.
-func NewVault(self string) *Vault {
+func NewVault(self string, p *Planner) *Vault {
 	return &Vault{
-		self:   self,
-		mu:     lock.New(lock.Purses),
-		purses: make(map[purseID]*held),
-		splits: make(map[string]Split),
-		moves:  make(map[string]*move),
+		self:    self,
+		planner: p,
+		mu:      lock.New(lock.Purses),
+		purses:  make(map[purseID]*held),
+		splits:  make(map[string]Split),
+		moves:   make(map[string]*move),
 	}
 }
 
@@ -90,7 +92,7 @@
 	kept := make(map[purseID]bool)
 	splits := make(map[string]Split, len(cfg.Customers()))
 	for _, c := range cfg.Customers() {
-		split := SplitLimit(cfg, c)
+		split := v.planner.Split(cfg, c)
 		splits[c.Name()] = split
 		if old, known := v.splits[c.Name()]; !first && known {
 			v.follow(cfg, c.Name(), old, split)
--- a/pkg/customer/wallet.go
+++ b/pkg/customer/wallet.go
@@ -73,12 +73,14 @@
 type Wallet struct {
 	self     string
 	centre   string
+	planner  *Planner
 	accounts *table.Table[string, *account]
 }
 
 // NewWallet returns the empty wallet of the slot named self in a data centre.
-func NewWallet(self, centre string) *Wallet {
+func NewWallet(self, centre string, p *Planner) *Wallet {
 	return &Wallet{
+		planner:  p,
 		self:     self,
 		centre:   centre,
 		accounts: table.New[string, *account](lock.Wallets),
@@ -114,7 +116,7 @@
 		return
 	}
 	a.number = cfg.Number()
-	a.split = SplitLimit(cfg, c)
+	a.split = w.planner.Split(cfg, c)
 	a.order = w.order(cfg, a.split)
 	a.dry = make(map[int]time.Time)
 }
--- a/pkg/lock/order.go
+++ b/pkg/lock/order.go
@@ -16,6 +16,8 @@
 	Purses
 	// Wallets guards the tokens that this daemon has borrowed.
 	Wallets
+	// Plans guards the splits that are kept.
+	Plans
 	// Claims guards the records of requests that run once.
 	Claims
 	// Budgets guards the retry budgets.
--- a/pkg/peer/members.go
+++ b/pkg/peer/members.go
@@ -168,11 +168,16 @@
 	if revision <= m.revision {
 		return false
 	}
+	// All daemons read the first list: there is nothing in it to pass on.
+	quiet := m.revision == 0
 	m.revision = revision
 	present := make(map[string]bool, len(list))
 	for _, i := range list {
 		present[i.name] = true
 		m.list(revision, i)
+		if e, known := m.entries[i.name]; quiet && known && i.name != m.self.name {
+			e.rounds = 0
+		}
 	}
 	for name, e := range m.entries {
 		if present[name] || name == m.self.name || e.instance.gone {
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// rankStable checks that a name that goes moves no other past a third.
+// rankStable checks that a name that goes moves no other past a third, and that
+// the first names are those of the ranking.
 func rankStable(t *rapid.T, _ bool) {
 	names := rapid.SliceOfNDistinct(rapid.StringMatching("[a-z]{3}"), 2, 30, rapid.ID).Draw(t, "names")
 	seed := rapid.String().Draw(t, "seed")
@@ -142,6 +143,10 @@
 	without := func(list []string) []string {
 		return slices.DeleteFunc(slices.Clone(list), func(n string) bool { return n == gone })
 	}
+	n := rapid.IntRange(0, 5).Draw(t, "n")
+	if got, want := peer.Top(seed, names, n), peer.Rank(seed, names); !slices.Equal(got, want[:min(n, len(want))]) {
+		t.Fatalf("top %d: got %v of %v", n, got, want)
+	}
 	if got, want := peer.Rank(seed, without(names)), without(peer.Rank(seed, names)); !slices.Equal(got, want) {
 		t.Fatalf("got %v, want %v", got, want)
 	}
--- a/pkg/platform/check.go
+++ b/pkg/platform/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"regexp"
 	"strings"
 )
 
@@ -12,11 +11,16 @@
 	maxSlots = 10_000
 	maxBurst = 1_000_000
 	maxRate  = 10_000_000
+	maxName  = 63
+	// keyDigits is the length of a key's digest in hex.
+	keyDigits = 64
 )
 
-var (
-	namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
-	keyPattern  = regexp.MustCompile(`^[0-9a-f]{64}$`)
+// The characters of names, and of digests. A daemon checks thousands of names
+// with each version, which rules out regular expressions.
+const (
+	hexDigits  = "0123456789abcdef"
+	nameInside = "abcdefghijklmnopqrstuvwxyz0123456789.-"
 )
 
 // Draft gathers the content of a version that is not yet checked.
@@ -79,6 +83,7 @@
 	if len(ps) > 0 {
 		return nil, ps
 	}
+	c.gather()
 	return c, nil
 }
 
@@ -173,7 +178,7 @@
 func (c *Config) checkKeys(ps *Problems, path string, v Customer) {
 	for j, key := range v.keys {
 		at := fmt.Sprintf("%s.keys[%d]", path, j)
-		if !keyPattern.MatchString(key) {
+		if len(key) != keyDigits || strings.Trim(key, hexDigits) != "" {
 			ps.Add(at, "must be a SHA-256 in lower-case hex")
 		}
 		if owner, twice := c.customerByKey[key]; twice {
@@ -184,8 +189,13 @@
 	}
 }
 
+func isName(name string) bool {
+	return name != "" && len(name) <= maxName && strings.Trim(name, nameInside) == "" &&
+		!strings.ContainsAny(name[:1]+name[len(name)-1:], ".-")
+}
+
 func checkName(ps *Problems, path, name string) {
-	if !namePattern.MatchString(name) {
+	if !isName(name) {
 		ps.Add(path, "%q is not a name: use 1 to 63 of a-z, 0-9, dot and dash", name)
 	}
 }
--- a/pkg/platform/config.go
+++ b/pkg/platform/config.go
@@ -1,6 +1,10 @@
 package platform
 
 import (
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -199,6 +203,16 @@
 	routeByPrefix  map[string]Route
 	customerByName map[string]Customer
 	customerByKey  map[string]string
+
+	slots slots
+}
+
+// slots are the names of the slots that may keep records and purses, by data
+// centre: all but those of data centres that are lost.
+type slots struct {
+	digest   Digest
+	centres  []string
+	byCentre map[string][]string
 }
 
 // Number returns the version's number.
@@ -219,6 +233,36 @@
 // Customers returns the customers. The slice is not to be changed.
 func (c *Config) Customers() []Customer { return c.customers }
 
+// SlotsDigest returns a digest that is the same for versions with the same slots
+// in the same data centres, so that what follows from them alone can be kept.
+func (c *Config) SlotsDigest() Digest { return c.slots.digest }
+
+// SlotCentres returns the names of the data centres that have slots and are not
+// lost. The slice is not to be changed.
+func (c *Config) SlotCentres() []string { return c.slots.centres }
+
+// SlotsOf returns the names of the slots of a data centre that is not lost. The
+// slice is not to be changed.
+func (c *Config) SlotsOf(centre string) []string { return c.slots.byCentre[centre] }
+
+// gather works out the slots.
+func (c *Config) gather() {
+	c.slots.byCentre = make(map[string][]string)
+	for _, b := range c.backends {
+		if !c.centreByName[b.centre].lost {
+			c.slots.byCentre[b.centre] = append(c.slots.byCentre[b.centre], b.name)
+		}
+	}
+	c.slots.centres = slices.Sorted(maps.Keys(c.slots.byCentre))
+	h := sha256.New()
+	for _, centre := range c.slots.centres {
+		names := c.slots.byCentre[centre]
+		slices.Sort(names)
+		fmt.Fprintf(h, "%q %q\n", centre, names)
+	}
+	c.slots.digest = Digest(h.Sum(nil))
+}
+
 // Centre returns the data centre of the given name.
 func (c *Config) Centre(name string) (Centre, bool) {
 	v, ok := c.centreByName[name]
