--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 # The slopes of docs/CAPACITY.md.
 capacity: build
 	timeout 900 scripts/capacity.sh
+	timeout 120 scripts/loans.sh
 
 # What two daemons add to a call, beside a direct one and plain forwarders.
 bench:
--- a/internal/daemon/convert.go
+++ b/internal/daemon/convert.go
@@ -74,53 +74,34 @@
 	return out
 }
 
-func encodeOutcome(o caller.Outcome) schema.Outcome {
-	switch o {
-	case caller.Ran:
-		return schema.Outcome_OUTCOME_RAN
-	case caller.NotRun:
-		return schema.Outcome_OUTCOME_NOT_RUN
-	}
-	return schema.Outcome_OUTCOME_UNKNOWN
+// pairs converts between two kinds of constants. What has no partner becomes
+// zero, which on both sides says the least.
+type pairs[A, B comparable] struct {
+	forth map[A]B
+	back  map[B]A
 }
 
-func decodeOutcome(o schema.Outcome) caller.Outcome {
-	switch o {
-	case schema.Outcome_OUTCOME_RAN:
-		return caller.Ran
-	case schema.Outcome_OUTCOME_NOT_RUN:
-		return caller.NotRun
+func newPairs[A, B comparable](forth map[A]B) pairs[A, B] {
+	p := pairs[A, B]{forth: forth, back: make(map[B]A, len(forth))}
+	for a, b := range forth {
+		p.back[b] = a
 	}
-	return caller.Unknown
+	return p
 }
 
-func encodeVote(v caller.Vote) schema.Vote_State {
-	switch v {
-	case caller.Granted:
-		return schema.Vote_STATE_GRANTED
-	case caller.Pending:
-		return schema.Vote_STATE_PENDING
-	case caller.HasRun:
-		return schema.Vote_STATE_RAN
-	case caller.Unsure:
-		return schema.Vote_STATE_UNKNOWN
-	}
-	return schema.Vote_STATE_ABSTAIN
-}
+var outcomes = newPairs(map[caller.Outcome]schema.Outcome{
+	caller.Unknown: schema.Outcome_OUTCOME_UNKNOWN,
+	caller.Ran:     schema.Outcome_OUTCOME_RAN,
+	caller.NotRun:  schema.Outcome_OUTCOME_NOT_RUN,
+})
 
-func decodeVote(s schema.Vote_State) caller.Vote {
-	switch s {
-	case schema.Vote_STATE_GRANTED:
-		return caller.Granted
-	case schema.Vote_STATE_PENDING:
-		return caller.Pending
-	case schema.Vote_STATE_RAN:
-		return caller.HasRun
-	case schema.Vote_STATE_UNKNOWN:
-		return caller.Unsure
-	}
-	return caller.Abstain
-}
+var votes = newPairs(map[caller.Vote]schema.Vote_State{
+	caller.Abstain: schema.Vote_STATE_ABSTAIN,
+	caller.Granted: schema.Vote_STATE_GRANTED,
+	caller.Pending: schema.Vote_STATE_PENDING,
+	caller.HasRun:  schema.Vote_STATE_RAN,
+	caller.Unsure:  schema.Vote_STATE_UNKNOWN,
+})
 
 func encodeFields(fields []Field) []*schema.Field {
 	out := make([]*schema.Field, 0, len(fields))
@@ -182,7 +163,7 @@
 
 func encodeReply(r *reply) *schema.Answer {
 	m := schema.Reply_builder{
-		Outcome: encodeOutcome(r.outcome).Enum(),
+		Outcome: outcomes.forth[r.outcome].Enum(),
 		Status:  proto.Uint32(uint32(r.status)),
 		Fields:  encodeFields(r.fields),
 		Reason:  proto.String(string(r.reason)),
@@ -200,7 +181,7 @@
 func decodeReply(m *schema.Reply) *reply {
 	l := m.GetLoad()
 	return &reply{
-		outcome: decodeOutcome(m.GetOutcome()),
+		outcome: outcomes.back[m.GetOutcome()],
 		status:  int(m.GetStatus()),
 		fields:  decodeFields(m.GetFields()),
 		reason:  caller.Reason(m.GetReason()),
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -170,14 +170,11 @@
 // confirmed refuses requests with keys where the platform has not been heard,
 // by way of anyone, for longer than the operators allow.
 func (d *door) confirmed(now time.Time, cfg *platform.Config, p *pass) caller.Reason {
-	most := cfg.Policy().Unconfirmed(p.work.once)
-	if most == 0 || p.work.context.Open() {
+	age, ever := d.feed.age(now)
+	if p.work.context.Open() || cfg.Policy().Confirmed(p.work.once, age, ever) {
 		return caller.NoReason
 	}
-	if age, ever := d.feed.age(now); !ever || age > most {
-		return caller.Unconfirmed
-	}
-	return caller.NoReason
+	return caller.Unconfirmed
 }
 
 // run takes a request that was let in through limit, claim and backend server.
--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -18,8 +18,9 @@
 const (
 	// readersPerCentre is how many daemons of a data centre read the platform.
 	readersPerCentre = 2
-	// watchFor is how long one watch waits.
-	watchFor = 20 * time.Second
+	// watchFor is how long one watch waits: its end confirms the version in
+	// force.
+	watchFor = 5 * time.Second
 	// readerCheck is how often a daemon looks whether it is to read.
 	readerCheck = time.Second
 	// retryFirst and retryLast bound the wait after a failed read.
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -111,13 +111,13 @@
 	if cfg := d.core.config(); cfg != nil {
 		vote = d.ledger.claims.Claim(now, cfg.Policy(), caller.NewAttempt(m.GetCustomer(), m.GetKey(), m.GetAttempt()))
 	}
-	return schema.Answer_builder{Vote: schema.Vote_builder{State: encodeVote(vote).Enum()}.Build()}.Build()
+	return schema.Answer_builder{Vote: schema.Vote_builder{State: votes.forth[vote].Enum()}.Build()}.Build()
 }
 
 func (d *Daemon) settleClaim(now time.Time, m *schema.Settle) *schema.Answer {
 	if cfg := d.core.config(); cfg != nil {
 		a := caller.NewAttempt(m.GetCustomer(), m.GetKey(), m.GetAttempt())
-		d.ledger.claims.Settle(now, cfg.Policy(), a, decodeOutcome(m.GetOutcome()))
+		d.ledger.claims.Settle(now, cfg.Policy(), a, outcomes.back[m.GetOutcome()])
 	}
 	return ack(false)
 }
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -172,19 +172,19 @@
 func (l *ledger) claim(ctx context.Context, cfg *platform.Config, a caller.Attempt) (*claim, caller.Ruling, caller.Vote) {
 	tally := caller.NewTally(l.electorates.Groups(time.Now(), a.Customer(), a.Key()))
 	c := &claim{attempt: a, voters: tally.Voters()}
-	votes := make(chan claimed, len(c.voters))
+	cast := make(chan claimed, len(c.voters))
 	for _, holder := range c.voters {
 		done := make(chan struct{})
 		c.asked = append(c.asked, done)
 		l.tasks.start(func() {
 			defer close(done)
 			vote, ok := l.vote(cfg, holder, a)
-			votes <- claimed{holder: holder, vote: vote, ok: ok}
+			cast <- claimed{holder: holder, vote: vote, ok: ok}
 		})
 	}
 	for range c.voters {
 		select {
-		case v := <-votes:
+		case v := <-cast:
 			if v.ok {
 				tally.Voted(v.holder, v.vote)
 			} else {
@@ -213,7 +213,7 @@
 	if err != nil || !answer.HasVote() {
 		return caller.Abstain, false
 	}
-	return decodeVote(answer.GetVote().GetState()), true
+	return votes.back[answer.GetVote().GetState()], true
 }
 
 // end tells the holders how an attempt ended, without being waited for.
@@ -235,7 +235,7 @@
 		Customer: proto.String(a.Customer()),
 		Key:      proto.String(a.Key()),
 		Attempt:  proto.String(a.ID()),
-		Outcome:  encodeOutcome(o).Enum(),
+		Outcome:  outcomes.forth[o].Enum(),
 	}.Build()}.Build()
 	for range settleTries {
 		if _, err := l.ask(l.quit, holder, claimTimeout, request); err == nil {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -32,6 +32,7 @@
 const (
 	host       = "127.0.0.1"
 	anyPort    = host + ":0"
+	nowhere    = host + ":1"
 	portFirst  = 10_000
 	portLast   = 30_000
 	portTries  = 100
@@ -54,6 +55,7 @@
 	stop      func()
 	slots     []*Slot
 	policies  *schema.Policies
+	cut       string
 	settle    time.Duration
 	log       *safeBuffer
 }
@@ -85,6 +87,10 @@
 // SetPolicies sets the policies of the daemons that start from now on.
 func (m *Mesh) SetPolicies(p *schema.Policies) { m.policies = p }
 
+// Cut keeps the platform from the daemons of a data centre that start from now
+// on; they know the other slots from their settings.
+func (m *Mesh) Cut(centre string) { m.cut = centre }
+
 // Platform returns the stand-in platform.
 func (m *Mesh) Platform() *standin.Platform { return m.platform }
 
@@ -234,17 +240,34 @@
 			Local:  proto.String(s.local),
 			Peer:   proto.String(s.peer),
 		}.Build(),
-		Backend: proto.String(s.host),
-		Platform: schema.Platform_builder{
-			Addresses: []string{m.address},
-			Fleet:     proto.Uint32(uint32(len(m.slots))),
-			Settle:    durationpb.New(m.settle),
-		}.Build(),
+		Backend:  proto.String(s.host),
+		Platform: s.platform(),
 		Signers:  []string{hex.EncodeToString(m.signer.Public().(ed25519.PublicKey))},
 		Policies: m.policies,
 	}.Build()
 }
 
+// platform returns how the slot's daemon reaches the platform.
+func (s *Slot) platform() *schema.Platform {
+	m := s.mesh
+	p := schema.Platform_builder{
+		Addresses: []string{m.address},
+		Fleet:     proto.Uint32(uint32(len(m.slots))),
+		Settle:    durationpb.New(m.settle),
+	}.Build()
+	if s.centre != m.cut {
+		return p
+	}
+	p.SetAddresses([]string{nowhere})
+	for _, other := range m.slots {
+		p.SetSeeds(append(p.GetSeeds(), schema.Seed_builder{
+			Name: proto.String(other.name),
+			Peer: proto.String(other.peer),
+		}.Build()))
+	}
+	return p
+}
+
 // Start starts the slot's daemon, or starts it again.
 func (s *Slot) Start() error {
 	pair, err := authority.Issue(s.mesh.authority, s.name)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -98,8 +98,10 @@
 	s.mesh = m
 	s.clients = make(map[string]*http.Client)
 	s.keys = make(map[string]string)
-	feed := ""
+	feed, cut := "", ""
 	d.MaybeScanArgs(t, "feed", &feed)
+	d.MaybeScanArgs(t, "cut", &cut)
+	m.Cut(cut)
 	if feed != "" {
 		m.SetPolicies(schema.Policies_builder{Feed: proto.String(feed)}.Build())
 	}
@@ -133,6 +135,14 @@
 	d.MaybeScanArgs(t, "out", &out)
 	d.MaybeScanArgs(t, "withdrawn", &withdrawn)
 	d.MaybeScanArgs(t, "without", &without)
+	if unconfirmed := ""; d.HasArg("unconfirmed") {
+		d.ScanArgs(t, "unconfirmed", &unconfirmed)
+		bound, err := time.ParseDuration(unconfirmed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.SetPolicy(schema.Policy_builder{ReadUnconfirmed: durationpb.New(bound)}.Build())
+	}
 	b.SetVersion(version)
 	b.SetCentres(nil)
 	b.SetBackends(nil)
--- a/pkg/platform/check.go
+++ b/pkg/platform/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"strings"
+	"time"
 )
 
 // Bounds of a bundle's values.
@@ -12,6 +13,9 @@
 	maxBurst = 1_000_000
 	maxRate  = 10_000_000
 	maxName  = 63
+	// leastUnconfirmed is the least time without word of the platform that can
+	// be told from a healthy fleet's.
+	leastUnconfirmed = 30 * time.Second
 	// keyDigits is the length of a key's digest in hex.
 	keyDigits = 64
 )
@@ -88,12 +92,8 @@
 }
 
 func (c *Config) checkPolicy(ps *Problems) {
-	if c.policy.readUnconfirmed < 0 {
-		ps.Add("policy.read_unconfirmed", "must not be negative")
-	}
-	if c.policy.writeUnconfirmed < 0 {
-		ps.Add("policy.write_unconfirmed", "must not be negative")
-	}
+	checkUnconfirmed(ps, "policy.read_unconfirmed", c.policy.readUnconfirmed)
+	checkUnconfirmed(ps, "policy.write_unconfirmed", c.policy.writeUnconfirmed)
 	if c.policy.retention < 0 {
 		ps.Add("policy.retention", "must not be negative")
 	}
@@ -102,6 +102,14 @@
 	}
 }
 
+// checkUnconfirmed refuses bounds that a healthy fleet would not keep: word of
+// the platform takes some seconds to come around.
+func checkUnconfirmed(ps *Problems, path string, bound time.Duration) {
+	if bound != 0 && bound < leastUnconfirmed {
+		ps.Add(path, "must be 0 or at least %s", leastUnconfirmed)
+	}
+}
+
 func (c *Config) checkCentres(ps *Problems) {
 	if len(c.centres) == 0 {
 		ps.Add("centres", "names no data centre")
--- a/pkg/platform/config.go
+++ b/pkg/platform/config.go
@@ -172,13 +172,15 @@
 	}
 }
 
-// Unconfirmed returns how long a daemon that hears nothing of the platform
-// serves keyed requests; zero is without end.
-func (p Policy) Unconfirmed(once bool) time.Duration {
+// Confirmed says whether a request with a key may be served, given how long ago
+// the platform was last heard, by way of anyone, and whether it ever was. A
+// bound of zero is without end.
+func (p Policy) Confirmed(once bool, age time.Duration, ever bool) bool {
+	bound := p.readUnconfirmed
 	if once {
-		return p.writeUnconfirmed
+		bound = p.writeUnconfirmed
 	}
-	return p.readUnconfirmed
+	return bound == 0 || ever && age <= bound
 }
 
 // Retention returns how long idempotency keys are remembered.
--- a/pkg/platform/settle_test.go
+++ b/pkg/platform/settle_test.go
@@ -45,6 +45,20 @@
 	})
 }
 
+// TestPolicy runs questions whether to serve. A bound or an age is in seconds.
+func TestPolicy(t *testing.T) {
+	datadriven.RunTest(t, "testdata/policy", func(t *testing.T, d *datadriven.TestData) string {
+		var read, write, age int
+		d.ScanArgs(t, "read", &read)
+		d.ScanArgs(t, "write", &write)
+		d.MaybeScanArgs(t, "age", &age)
+		p := platform.NewPolicy(time.Duration(read)*time.Second, time.Duration(write)*time.Second, 0, 0)
+		heard := time.Duration(age) * time.Second
+		return fmt.Sprintf("idempotent %t, once %t\n",
+			p.Confirmed(false, heard, d.HasArg("age")), p.Confirmed(true, heard, d.HasArg("age")))
+	})
+}
+
 // TestAllowance lets a whole fleet start at one instant and counts its calls on
 // the platform in each second: they stay inside the share.
 func TestAllowance(t *testing.T) {
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -56,14 +56,7 @@
 }
 
 loopback() { awk '/lo:/ {print $2}' /proc/net/dev; }
-control() {
-	local address total=0
-	for address in $(fleet_addresses 25000); do
-		total=$((total + $(curl -sf "http://$address/status" | tr -d ' ",' |
-			awk -F: '/^control_in|^control_out|^platform_in/ {t += $2} END {print t + 0}')))
-	done
-	echo "$total"
-}
+
 calls() { curl -sf "http://$PLATFORM/admin/calls"; }
 
 # size DAEMONS BALLAST measures one size.
@@ -89,13 +82,13 @@
 	fleet_ready 60 || exit 1
 	sleep 35
 	local j0 l0 c0 j1 l1 c1
-	c0=$(control)
+	c0=$(fleet_bytes 'control_in|control_out|platform_in')
 	j0=$(jiffies)
 	l0=$(loopback)
 	sleep "$QUIET"
 	j1=$(jiffies)
 	l1=$(loopback)
-	c1=$(control)
+	c1=$(fleet_bytes 'control_in|control_out|platform_in')
 	local p0 p1 version
 	p0=$(calls | cut -d' ' -f1)
 	rm -f "$RUN/published"
@@ -110,7 +103,7 @@
 	sleep 1
 	local took=$(($(date +%s) - begin))
 	local c2 j2
-	c2=$(control)
+	c2=$(fleet_bytes 'control_in|control_out|platform_in')
 	j2=$(jiffies)
 	p1=$(calls | cut -d' ' -f1)
 	local memory
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -145,6 +145,16 @@
 	done
 }
 
+# fleet_bytes FIELDS adds up fields of the traffic in all daemons' statuses.
+fleet_bytes() {
+	local address total=0
+	for address in $(fleet_addresses 25000); do
+		total=$((total + $(curl -sf "http://$address/status" | tr -d ' ",' |
+			awk -F: -v f="^($1)\$" '$1 ~ f {t += $2} END {print t + 0}')))
+	done
+	echo "$total"
+}
+
 wait_port() {
 	local try
 	for try in $(seq 100); do
