End every connection when a daemon closes

Cause: a daemon that was closed just as a dial ended missed that connection and waited for it for ever. Seen in make test: mesh/faults hung in Mesh.Close at the kill of a daemon (goroutine dump: one connection's watch, the link not yet ready). Ruled out: the test's load, which had ended.

Change: the goroutine that watches a connection also ends it when the mesh is closed.

--- a/internal/peerquic/ask.go
+++ b/internal/peerquic/ask.go
@@ -118,15 +118,18 @@
 	}
 	l.conn = conn
 	m.group.Go(func() { m.watch(name, conn) })
-	if m.quit.Err() != nil {
-		// The mesh was closed meanwhile and may not have seen this connection.
-		_ = conn.CloseWithError(codeDone, "stopping")
-	}
 }
 
 // watch waits for the end of a connection and tells if the other side ended it.
+// It ends the connection when the mesh is closed, whatever has become of its
+// link.
 func (m *Mesh) watch(name string, conn *quic.Conn) {
-	<-conn.Context().Done()
+	select {
+	case <-conn.Context().Done():
+	case <-m.quit.Done():
+		_ = conn.CloseWithError(codeDone, "stopping")
+		return
+	}
 	var own *quic.ApplicationError
 	if errors.As(context.Cause(conn.Context()), &own) && !own.Remote && own.ErrorCode != codeLost {
 		return
