--- a/internal/callerhttp/server.go
+++ b/internal/callerhttp/server.go
@@ -23,7 +23,6 @@
 
 // Server is an HTTP server on one address. Make one with Listen.
 type Server struct {
-	rest *rest.Server
 	http *http.Server
 }
 
@@ -54,7 +53,7 @@
 		h.IdleTimeout = idleTimeout
 		inner <- h
 	})
-	return &Server{rest: r, http: <-inner}, nil
+	return &Server{http: <-inner}, nil
 }
 
 // conf turns off what the library would decide for itself. Timeouts, breaking
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -23,7 +23,7 @@
 		d.serveCall(ctx, r.GetCall(), s)
 		return
 	}
-	a := d.control(ctx, from, r)
+	a := d.control(from, r)
 	if a == nil || s.SendAnswer(a) != nil {
 		s.Abort()
 		return
@@ -33,7 +33,7 @@
 
 // control answers a control message, or returns nil to one that it does not
 // know.
-func (d *Daemon) control(ctx context.Context, from string, r *schema.Request) *schema.Answer {
+func (d *Daemon) control(from string, r *schema.Request) *schema.Answer {
 	now := time.Now()
 	switch {
 	case r.HasOffer():
@@ -53,7 +53,6 @@
 		d.keeper.quarantine.Died(now, backend.NewSuspect(m.GetCustomer(), m.GetFingerprint()))
 		return ack(false)
 	}
-	_ = ctx
 	return nil
 }
 
--- a/internal/daemon/payload.go
+++ b/internal/daemon/payload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-
-	"github.com/rotisserie/eris"
 )
 
 // keepMost is how many bytes of a body are kept to be sent again.
@@ -55,6 +53,3 @@
 	p.used = true
 	return io.MultiReader(bytes.NewReader(p.start), p.rest)
 }
-
-// errCut says that a body ended before its length.
-var errCut = eris.New("body was cut")
--- a/internal/peerquic/stream.go
+++ b/internal/peerquic/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -103,6 +102,3 @@
 
 // StopReading tells the other side that the rest of its body is not wanted.
 func (s *Stream) StopReading() { s.stream.CancelRead(aborted) }
-
-// Hurry makes blocked reads return at an instant.
-func (s *Stream) Hurry(at time.Time) { _ = s.stream.SetReadDeadline(at) }
