Tell daemons of changes whose own backend server's entry vanished

It learned of its own leaving by comparing with a daemon drawn at random, up to a second or more later, and then used the vanished entry for another second: past the bound of 2 s. A further race let a change be missed that came as a push ended.

Change: recipients of changes are all daemons of the data centre, those whose entry vanished last, until they fail to answer twice. One goroutine at a time talks to a daemon and goes on until it holds what is wanted, by that daemon's own word. Daemons that are no readers ask two others after a change, since both readers may be gone (script spread/faults: 1.94 s with both readers killed, in time since). A vanished entry is used for 0.5 s, after trouble with the store until 2.5 s after it.

Test: spread/vanished and spread/faults run fleets under a paused clock; with vanished machines left out, vanished fails (aug2 heard of c/7 after 1.177s).

--- /dev/null
+++ b/internal/sidecar/exchange.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/replica"
+)
+
+// message tells what this daemon holds.
+func (s *spreader) message(now time.Time) *schema.Exchange {
+	m := &schema.Exchange{}
+	m.SetFrom(s.self)
+	m.SetRevision(s.copy.Revision())
+	m.SetAge(s.toldAge(now).Microseconds())
+	m.SetAway(s.follower.unfit())
+	return m
+}
+
+func (s *spreader) toldAge(now time.Time) time.Duration {
+	if s.confirmed.Load() == 0 {
+		return ageUnknown
+	}
+	return s.age(now)
+}
+
+// attach adds to a message what changed after a revision.
+func (s *spreader) attach(m *schema.Exchange, after uint64) {
+	items, upTo, whole := s.copy.Since(after)
+	m.SetRevision(upTo)
+	m.SetWhole(whole)
+	m.SetAfter(after)
+	list := make([]*schema.Item, 0, len(items))
+	for _, i := range items {
+		list = append(list, schema.Item_builder{
+			Key:      proto.String(i.Key()),
+			Value:    i.Value(),
+			Revision: proto.Uint64(i.Revision()),
+			Removed:  proto.Bool(i.Removed()),
+		}.Build())
+	}
+	m.SetItems(list)
+}
+
+// take takes in what another daemon tells, and returns whether that one holds
+// less than this one.
+func (s *spreader) take(now time.Time, m *schema.Exchange) bool {
+	if m.GetFrom() == "" {
+		return false
+	}
+	s.follower.heard(now, m.GetFrom(), m.GetAway())
+	if len(m.GetItems()) > 0 || m.GetWhole() {
+		s.takeItems(now, m)
+	}
+	if s.copy.Revision() >= m.GetRevision() && m.GetRevision() > 0 {
+		s.confirm(now.Add(-time.Duration(m.GetAge()) * time.Microsecond))
+	}
+	for _, c := range m.GetCrashes() {
+		s.quarantine.Died(now, backend.NewSuspect(c.GetCustomer(), c.GetFingerprint()))
+		s.events.belief(true, "crash told", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
+	}
+	for _, share := range m.GetShares() {
+		s.quota.Grant(now, share.GetCustomer(), share.GetPart())
+	}
+	return m.GetRevision() < s.copy.Revision()
+}
+
+func (s *spreader) takeItems(now time.Time, m *schema.Exchange) {
+	items := make([]replica.Item, 0, len(m.GetItems()))
+	for _, i := range m.GetItems() {
+		if i.GetRemoved() {
+			items = append(items, replica.NewRemoval(i.GetKey(), i.GetRevision()))
+		} else {
+			items = append(items, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()))
+		}
+	}
+	if m.GetWhole() && m.GetRevision() > 0 {
+		s.relearn(now, "", items, m.GetRevision())
+		s.copy.Complete(m.GetRevision())
+		return
+	}
+	s.learn(now, items, m.GetAfter(), m.GetRevision())
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -76,8 +76,11 @@
 	defer cancel()
 	req := http1.NewRequest(http.MethodPost, controlPath, ip, http.Header{})
 	req.SetBody(data, nil, int64(len(data)))
-	resp, err := client(p.words, ip, p.control).Do(ctx, req)
+	c := client(p.words, ip, p.control)
+	resp, err := c.Do(ctx, req)
 	if err != nil {
+		// The other connections may be as silent.
+		c.Drop()
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
 	if resp.Status() != http.StatusOK {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -85,7 +85,7 @@
 // named m1 to m9, each with a backend server i1 to i9 beside its daemon.
 func TestSidecar(t *testing.T) {
 	logx.Disable()
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/sidecar", func(t *testing.T, path string) {
 		f := &fleet{
 			t: t, store: newFakeStore(), backends: make(map[string]*fakeBackend),
 			daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &sink{},
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,14 +10,16 @@
 
 const (
 	// vanishedUse is how long an instance stays usable that vanished without
-	// announcing its leaving: about half of the shortest drain time.
-	vanishedUse = time.Second
-	// lapsedUse is the same where the store was in trouble: entries of live
-	// instances are back within two seconds of its return.
-	lapsedUse = 3 * time.Second
-	// troubleMemory is how long after trouble the store may still drop entries
-	// of live instances.
-	troubleMemory = 3 * time.Second
+	// announcing its leaving. With the time in which daemons hear of it, it stays
+	// below the shortest drain time.
+	vanishedUse = 500 * time.Millisecond
+	// returnUse is how long after trouble with the store instances stay usable
+	// that vanished with it: entries of live ones are back within two seconds of
+	// its return.
+	returnUse = 2500 * time.Millisecond
+	// lapseMemory is how long after trouble entries may still vanish because of
+	// it. What vanishes later has left.
+	lapseMemory = 1500 * time.Millisecond
 	// goneMemory is how long the address of a removed instance is remembered,
 	// since a daemon may still run there.
 	goneMemory = 30 * time.Second
@@ -73,8 +75,8 @@
 	}
 	r.gone = now
 	r.until = now.Add(vanishedUse)
-	if now.Sub(f.trouble) < troubleMemory {
-		r.until = now.Add(lapsedUse)
+	if now.Sub(f.trouble) < lapseMemory {
+		r.until = f.trouble.Add(returnUse)
 	}
 	f.records[id] = r
 }
