Date what is known by the clock at sending, and take in revisions without a change

A comparison was answered by an instant read before the message was taken in; where that took long, the copy was confirmed meanwhile, the age told was negative, and the other daemon dated its copy into the future. Jumps between such dates counted as time in which the store was away, so entries that vanished were used for up to 2.5 s and more. And a change of the store's revision without items was ignored, so copies stayed behind and were not confirmed at all.

Ruled out: readers that do not read (their watches returned every 2 s), lost heartbeats (sent every second), processor time (0.03 of a core).

Change: a message is dated as it is made, no confirmation is later than now, and a message with a range of revisions is taken in whether or not it has items.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -10,12 +10,12 @@
 	"github.com/lycheehead/lycheehead/pkg/replica"
 )
 
-// message tells what this daemon holds.
-func (s *spreader) message(now time.Time) *schema.Exchange {
+// message tells what this daemon holds as it is sent.
+func (s *spreader) message() *schema.Exchange {
 	m := &schema.Exchange{}
 	m.SetFrom(s.self)
 	m.SetRevision(s.copy.Revision())
-	m.SetAge(s.toldAge(now).Microseconds())
+	m.SetAge(s.toldAge(time.Now()).Microseconds())
 	m.SetAway(s.follower.unfit())
 	return m
 }
@@ -52,7 +52,8 @@
 		return false
 	}
 	s.follower.heard(now, m.GetFrom(), m.GetAway())
-	if len(m.GetItems()) > 0 || m.GetWhole() {
+	// The store's revision also moves without a change that anyone follows.
+	if m.HasAfter() {
 		s.takeItems(now, m)
 	}
 	if s.copy.Revision() >= m.GetRevision() && m.GetRevision() > 0 {
--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -106,9 +106,13 @@
 // heartbeat, and shorter than the silence after which entries lapse.
 const troubleGap = 3500 * time.Millisecond
 
-// confirm notes that the copy was current at an instant. Where nobody could tell
-// for long before, entries of live instances may have lapsed meanwhile.
+// confirm notes that the copy was current at an instant, which has passed. Where
+// nobody could tell for long before, entries of live instances may have lapsed
+// meanwhile.
 func (k *knowledge) confirm(at time.Time) {
+	if now := time.Now(); at.After(now) {
+		at = now
+	}
 	n := int64(at.Sub(k.begin))
 	for {
 		old := k.confirmed.Load()
@@ -128,5 +132,6 @@
 
 // age returns how long ago the copy was known to be current.
 func (k *knowledge) age(now time.Time) time.Duration {
-	return now.Sub(k.begin) - time.Duration(k.confirmed.Load())
+	// The copy may have been confirmed after now was read.
+	return max(0, now.Sub(k.begin)-time.Duration(k.confirmed.Load()))
 }
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -67,7 +67,7 @@
 	if splitter == s.self {
 		return s.lend(now, name)
 	}
-	m := s.message(now)
+	m := s.message()
 	m.SetBorrow(name)
 	timeout := borrowTimeout
 	if deadline, ok := ctx.Deadline(); ok {
@@ -103,7 +103,7 @@
 			lists[splitter] = append(lists[splitter], d)
 		}
 		for splitter, list := range lists {
-			m := s.message(now)
+			m := s.message()
 			m.SetDemands(list)
 			m.SetSplit(true)
 			s.tellSplitter(now, splitter, m)
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -185,7 +185,7 @@
 func (s *spreader) bring(ip string, p push, tries int) (held uint64, err error) {
 	failed := 0
 	for round := 0; round < feedRounds; {
-		m := s.message(time.Now())
+		m := s.message()
 		timeout := feedTimeout
 		if p.known {
 			s.attach(m, p.held)
@@ -211,9 +211,8 @@
 
 // crashed tells all daemons of a request that a backend server died of.
 func (s *spreader) crashed(suspect backend.Suspect) {
-	now := time.Now()
 	for _, h := range s.others() {
-		m := s.message(now)
+		m := s.message()
 		m.SetCrashes([]*schema.Crash{schema.Crash_builder{
 			Customer:    proto.String(suspect.Customer()),
 			Fingerprint: proto.Uint64(suspect.Fingerprint()),
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -78,7 +78,9 @@
 	// loss is the share of messages that are delayed by a retransmission, and
 	// silent that of messages that are never answered.
 	loss, silent float64
-	store        *testStore
+	// slow is how long a daemon takes to take in a message.
+	slow  time.Duration
+	store *testStore
 }
 
 type testNode struct {
@@ -137,7 +139,11 @@
 	}
 	switch w[0] {
 	case "change":
-		n.store.put("c/"+w[1], "", false)
+		key := w[1]
+		if !strings.Contains(key, "/") {
+			key = "c/" + key
+		}
+		n.store.put(key, "", false)
 	case "remove", "publish":
 		for _, name := range w[1:] {
 			n.store.put("i/"+name, n.nodes[name].name+" "+n.nodes[name].centre, w[0] == "remove")
@@ -167,10 +173,18 @@
 		}
 	case "loss":
 		n.setLoss(t, w[1:])
+	case "slow":
+		d, err := time.ParseDuration(w[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.slow = d
 	case "told":
 		return n.told(w[1:], most)
 	case "lost":
 		return n.lost(w[1])
+	case "aged":
+		return n.aged(most)
 	default:
 		t.Fatalf("unknown step %q", w)
 	}
@@ -248,6 +262,19 @@
 	return fmt.Sprintf("gone at %v", all)
 }
 
+// aged says which daemons have not known for longer than the bound that their
+// copy is current, or claim to know it of the future.
+func (n *testNet) aged(most time.Duration) string {
+	var all []string
+	for name, node := range n.nodes {
+		if age := node.spreader.age(time.Now()); node.up && (age > most || age < 0) {
+			all = append(all, name)
+		}
+	}
+	slices.Sort(all)
+	return fmt.Sprintf("old at %v", all)
+}
+
 var errTestNet = errors.New("no answer")
 
 // hop is the time of a message between two daemons, and resend that of a
@@ -280,7 +307,9 @@
 	if err != nil {
 		return nil, err
 	}
-	out := to.spreader.answer(time.Now(), in)
+	now := time.Now()
+	pause(ctx, node.net.slow)
+	out := to.spreader.answer(now, in)
 	pause(ctx, hop)
 	return out, ctx.Err()
 }
@@ -326,7 +355,7 @@
 	node.out = logs.NewWriter(io.Discard)
 	k := newKnowledge(node, newEvents(node.out, node.name, node.centre), now)
 	f := &follower{
-		knowledge: k, source: node, prefixes: []string{""}, self: node.name, centre: node.centre,
+		knowledge: k, source: node, prefixes: []string{"c/", "i/"}, self: node.name, centre: node.centre,
 		others: table.New[string, time.Time](lock.Members),
 	}
 	window := customer.NewWindow(5*time.Second, 0.25, 20)
@@ -380,8 +409,9 @@
 }
 
 // List implements Source.
-func (node *testNode) List(ctx context.Context, _ string) ([]replica.Item, uint64, error) {
-	return node.read(ctx, 0, 0)
+func (node *testNode) List(ctx context.Context, prefix string) ([]replica.Item, uint64, error) {
+	items, revision, err := node.read(ctx, 0, 0)
+	return slices.DeleteFunc(items, func(i replica.Item) bool { return !strings.HasPrefix(i.Key(), prefix) }), revision, err
 }
 
 // Watch implements Source.
--- a/internal/sidecar/spreader.go
+++ b/internal/sidecar/spreader.go
@@ -95,7 +95,7 @@
 // answer takes in a control message and returns the answer to it.
 func (s *spreader) answer(now time.Time, m *schema.Exchange) *schema.Exchange {
 	behind := s.take(now, m)
-	out := s.message(now)
+	out := s.message()
 	if behind && m.GetWant() {
 		s.attach(out, m.GetRevision())
 	}
