--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 test: lint
 	$(GO) test $(TEST_FLAGS) ./...
 	$(GO) test ./pkg/...
+	$(GO) test -run TestSpread ./internal/sidecar
 
 lint: $(BIN)/gofumpt $(BIN)/revive
 	@files=$$($(BIN)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
