Keep limits by data centre, with a part that each one owns

Parts that were leased to single daemons lay idle while others were refused, and a data centre that was cut off refused nearly all.

Ruled out: customers that really sent too much (their demand was below the limit), a reserve that could not be reached (404 of 14,573 refusals before the cut).

Busy daemons borrow ahead. A daemon that hears no other of its data centre, is about to stop, or has just started keeps no limit. Refusals say when a token is expected; where nobody could tell, the reason is limit-unknown and the status 503.

Tests: the property window of pkg/customer with overlapping keepers, late spending, cuts and restarts; spread/limits replays fleets under a paused clock (a data centre cut off, keepers that leave and die, all killed at once, a customer with five times its limit).

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -38,6 +38,7 @@
 	knowledge *knowledge
 	follower  *follower
 	spreader  *spreader
+	limits    *limits
 	admission *admission
 	ingress   *ingress
 	inbound   *inbound
@@ -99,7 +100,6 @@
 	d.knowledge = newKnowledge(p.decoder, d.events, now)
 	b := s.GetBounds()
 	window := customer.NewWindow(b.GetQuotaWindow().AsDuration(), b.GetQuotaOver(), b.GetQuotaSlack())
-	quota := customer.NewQuota(window)
 	d.admission = d.newAdmission(p.protocol, fleet.NewAddress(backendAt.Addr().String(), backendAt.Port()))
 	d.admission.restarted = !first
 	d.follower = &follower{
@@ -116,8 +116,6 @@
 		peers:      d.peers,
 		self:       inboundAt.Addr().String(),
 		centre:     s.GetCentre(),
-		quota:      quota,
-		shares:     customer.NewShares(window, first),
 		quarantine: d.admission.quarantine,
 		ctx:        ctx,
 		told:       newPushes(),
@@ -137,13 +135,28 @@
 		sends:     caller.NewSends(b.GetRetryRatio(), b.GetRetrySlack(), b.GetRetryWindow().AsDuration()),
 		share:     d.spreader.share,
 	}
+	d.limits = &limits{
+		knowledge: d.knowledge,
+		peers:     d.peers,
+		self:      inboundAt.Addr().String(),
+		centre:    s.GetCentre(),
+		centres:   len(s.GetCentres()),
+		quota:     customer.NewQuota(window),
+		shares:    customer.NewShares(window, first),
+		prefetch:  customer.NewPrefetch(),
+		ctx:       ctx,
+		message:   d.spreader.message,
+		take:      d.spreader.take,
+		leaving:   newLeaving(),
+		stopping:  d.follower.leaving.Load,
+	}
+	d.spreader.limits = d.limits
 	d.ingress = &ingress{
 		knowledge: d.knowledge,
 		protocol:  p.protocol,
 		pool:      d.pool,
 		service:   s.GetService(),
-		quota:     quota,
-		borrow:    d.spreader.borrow,
+		limits:    d.limits,
 		sender:    d.sender,
 		metrics:   d.metrics,
 		stopping:  d.stopping.Load,
@@ -181,8 +194,12 @@
 
 // changed lets all parts take over what the store says.
 func (d *Daemon) changed(now time.Time) {
+	if d.limits.members.Load() == nil {
+		defer func() { go d.spreader.compareCentre() }()
+	}
 	d.admission.observe(now)
 	d.spreader.others()
+	d.limits.observe(now)
 	go d.spreader.changed()
 }
 
@@ -210,7 +227,7 @@
 	go d.follower.run(d.spreader.ctx)
 	go d.spreader.run()
 	go d.spreader.beat()
-	go d.spreader.report()
+	go d.limits.report()
 	go d.sweep()
 	d.events.belief(true, "start", "service", s.GetService(), "backend", s.GetBackend(), "store", s.GetStore())
 	return nil
@@ -244,6 +261,7 @@
 		d.admission.quarantine.Sweep(now)
 		d.admission.client.Sweep(now)
 		d.admission.observe(now)
+		d.limits.sweep(now)
 		d.sender.placer.Sweep(d.knowledge.fleet.Known())
 		keep := make(map[string]bool)
 		for _, h := range d.spreader.others() {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -17,6 +17,7 @@
 	m.SetRevision(s.copy.Revision())
 	m.SetAge(s.toldAge(time.Now()).Microseconds())
 	m.SetAway(s.follower.unfit())
+	m.SetLeaving(s.follower.leaving.Load())
 	return m
 }
 
@@ -52,9 +53,14 @@
 		return false
 	}
 	s.follower.heard(now, m.GetFrom(), m.GetAway())
+	s.limits.heard(now, m.GetFrom(), m.GetLeaving())
 	// The store's revision also moves without a change that anyone follows.
 	if m.HasAfter() {
+		before := s.copy.Revision()
 		s.takeItems(now, m)
+		if len(m.GetItems()) > 0 && s.copy.Revision() > before {
+			s.echo(m.GetFrom())
+		}
 	}
 	if s.copy.Revision() >= m.GetRevision() && m.GetRevision() > 0 {
 		s.confirm(now.Add(-time.Duration(m.GetAge()) * time.Microsecond))
@@ -63,9 +69,7 @@
 		s.quarantine.Died(now, backend.NewSuspect(c.GetCustomer(), c.GetFingerprint()))
 		s.events.belief(true, "crash told", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
 	}
-	for _, share := range m.GetShares() {
-		s.quota.Grant(now, share.GetCustomer(), share.GetPart())
-	}
+	s.limits.granted(now, m.GetShares())
 	return m.GetRevision() < s.copy.Revision()
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -13,7 +13,6 @@
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
-	"github.com/lycheehead/lycheehead/pkg/customer"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/pkg/workers"
 )
@@ -30,8 +29,6 @@
 	startAgain = 100 * time.Millisecond
 	// againFirst is when a caller may ask again where nothing better is known.
 	againFirst = 50 * time.Millisecond
-	// quotaAgain is when a caller beyond its limit may ask again.
-	quotaAgain = 150 * time.Millisecond
 )
 
 // ingress takes the requests of callers on the daemon's machine, and of its
@@ -41,11 +38,9 @@
 	protocol Protocol
 	pool     *workers.Pool
 	service  string
-	quota    *customer.Quota
-	// borrow asks for a token of a customer's reserve.
-	borrow  func(ctx context.Context, customer string) bool
-	sender  *sender
-	metrics *metrics
+	limits   *limits
+	sender   *sender
+	metrics  *metrics
 	// stopping says that connections are to be closed, and refusing that no more
 	// requests are taken.
 	stopping, refusing func() bool
@@ -57,8 +52,8 @@
 	attempts int
 	refusal  caller.Reason
 	again    time.Duration
-	// pass says whether the request is within its customer's limit.
-	pass customer.Pass
+	// limited says that the request's customer has a limit.
+	limited bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -89,8 +84,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), e.work.deadline)
 	defer cancel()
-	if !in.within(ctx, e) {
-		return e, refused(caller.OverLimit, jitter(quotaAgain))
+	if e.limited {
+		if reason, again := in.limits.pass(ctx, e.work.customer); reason != caller.NoReason {
+			return e, refused(reason, jitter(max(again, againFirst)))
+		}
 	}
 	if limit := cfg.Limits().BodyBytes(); limit > 0 && r.ContentLength > limit {
 		return e, refused(caller.TooLarge, 0)
@@ -135,26 +132,10 @@
 	}
 	e.work.customer = owner.Name()
 	e.work.rank = backend.NewRank(!keyed, owner.Priority(), route.Priority())
-	if keyed && owner.Limited() {
-		e.pass = in.quota.Take(now, owner.Name(), owner.Rate(), owner.Burst())
-	}
+	e.limited = keyed && owner.Limited()
 	return e
 }
 
-// within says whether a request may pass its customer's limit.
-func (in *ingress) within(ctx context.Context, e entry) bool {
-	switch e.pass {
-	case customer.Passed:
-		return true
-	case customer.Borrowable:
-		if in.borrow(ctx, e.work.customer) {
-			return true
-		}
-		in.quota.Empty(time.Now(), e.work.customer)
-	}
-	return false
-}
-
 func owner(cfg *operator.Config, c Caller) (operator.Customer, bool) {
 	if c.key == "" {
 		return operator.Customer{}, cfg.Customers() == 0
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -2,139 +2,386 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/customer"
+	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
 const (
 	// demandEvery is the time between two reports of what customers ask for.
 	demandEvery = 700 * time.Millisecond
-	// leastReported is the demand, in requests of late, below which a daemon asks
-	// for no part of a customer's limit and borrows from the reserve.
-	leastReported = 2
 	// borrowTimeout bounds the wait for a token, which delays a request. A machine
 	// with little of its core left takes some tenths of a second to answer.
-	borrowTimeout = 400 * time.Millisecond
-	// borrowShare is the part of a request's time that the wait may take.
-	borrowShare = 0.3
+	borrowTimeout = 300 * time.Millisecond
+	// reserveTimeout is the same for the reserve, which is asked after that.
+	reserveTimeout = 150 * time.Millisecond
+	// borrowShare is the part of a request's time that each wait may take.
+	borrowShare = 0.2
+	// leavingFor is how long a daemon counts as leaving after it said so, unless
+	// it says that it is back.
+	leavingFor = 6 * time.Second
+	// aloneAfter is how long a daemon may have heard no other of its data centre
+	// before it counts as cut off from it: another one may keep its limits then.
+	aloneAfter = 2500 * time.Millisecond
+	// settleFor is how long after a daemon told the others that it is there it
+	// begins to keep limits, since one that counts as leaving is kept for.
+	settleFor = 300 * time.Millisecond
 )
 
-// grant answers a daemon's demands with its parts of the limits.
-func (s *spreader) grant(now time.Time, m *schema.Exchange) []*schema.Share {
-	if !m.GetSplit() {
-		return nil
-	}
-	var out []*schema.Share
-	for _, d := range m.GetDemands() {
-		limit, ok := s.limit(d.GetCustomer())
-		if !ok {
+// limits keeps customers within their limits together with the other daemons.
+// In each data centre one daemon keeps a customer's bucket and lends tokens to the
+// others; one daemon of the fleet leases between data centres the part of the
+// limit that none owns.
+type limits struct {
+	*knowledge
+	peers        exchanger
+	self, centre string
+	// centres is the number of data centres.
+	centres  int
+	quota    *customer.Quota
+	shares   *customer.Shares
+	prefetch *customer.Prefetch
+	ctx      context.Context //nolint:containedctx // the daemon's own, for work in the background
+	// message returns a control message, and take takes in an answer to one.
+	message func() *schema.Exchange
+	take    func(now time.Time, m *schema.Exchange) bool
+	members atomic.Pointer[members]
+	// leaving is until when each daemon counts as leaving, and stopping says that
+	// this one is.
+	leaving  *table.Table[string, time.Time]
+	stopping func() bool
+	// heardAt is when another daemon of the data centre was heard last, in
+	// nanoseconds since begin.
+	heardAt atomic.Int64
+}
+
+// members are the daemons that limits are kept by.
+type members struct {
+	// near are those of the data centre, all those of the fleet, and others those
+	// of the data centre that are not this one.
+	near, all []string
+	others    map[string]bool
+	// since is when near was last another list, and first when the daemon first
+	// knew any.
+	since, first time.Time
+}
+
+func newLeaving() *table.Table[string, time.Time] { return table.New[string, time.Time](lock.Members) }
+
+// observe takes over which daemons there are.
+func (l *limits) observe(now time.Time) {
+	m := &members{others: make(map[string]bool)}
+	for _, h := range l.fleet.Hosts() {
+		if !h.Live() {
 			continue
 		}
-		part := s.shares.Tell(now, limit, m.GetFrom(), d.GetRequests(), d.GetPart())
-		out = append(out, schema.Share_builder{
-			Customer: proto.String(d.GetCustomer()),
-			Part:     proto.Float64(part),
-		}.Build())
+		m.all = append(m.all, h.IP())
+		if h.Centre() != l.centre || l.isLeaving(now, h.IP()) {
+			continue
+		}
+		m.near = append(m.near, h.IP())
+		if h.IP() != l.self {
+			m.others[h.IP()] = true
+		}
 	}
-	return out
+	m.since, m.first = now, now
+	if old := l.members.Load(); old != nil {
+		m.first = old.first
+		if slices.Equal(old.near, m.near) {
+			m.since = old.since
+		}
+	}
+	l.members.Store(m)
+}
+
+func (l *limits) isLeaving(now time.Time, daemon string) bool {
+	if daemon == l.self {
+		return l.stopping()
+	}
+	until, ok := l.leaving.Get(daemon)
+	return ok && now.Before(until)
+}
+
+// heard notes that a daemon is there, and whether it is about to stop.
+func (l *limits) heard(now time.Time, daemon string, leaving bool) {
+	was := l.isLeaving(now, daemon)
+	if leaving || was {
+		l.leaving.Update(daemon, func(time.Time, bool) (time.Time, bool) { return now.Add(leavingFor), leaving })
+	}
+	if leaving != was {
+		l.observe(now)
+	}
+	m := l.members.Load()
+	if m == nil || !m.others[daemon] {
+		return
+	}
+	if l.alone(now, m) {
+		next := *m
+		next.since = now
+		l.members.CompareAndSwap(m, &next)
+	}
+	l.heardAt.Store(int64(now.Sub(l.begin)))
+}
+
+// alone says whether this daemon may be cut off from all others of its data
+// centre.
+func (l *limits) alone(now time.Time, m *members) bool {
+	return len(m.others) > 0 && now.Sub(l.begin)-time.Duration(l.heardAt.Load()) > aloneAfter
+}
+
+// keeper returns the daemon of the data centre that keeps a customer's bucket.
+func (l *limits) keeper(name string) string {
+	m := l.members.Load()
+	if m == nil || len(m.near) == 0 {
+		return l.self
+	}
+	return peer.Top(name, m.near, 1)[0]
+}
+
+// splitter returns the daemon of the fleet that leases a customer's limit.
+func (l *limits) splitter(name string) string {
+	m := l.members.Load()
+	if m == nil || len(m.all) == 0 {
+		return l.self
+	}
+	return peer.Top(name, m.all, 1)[0]
+}
+
+// since returns from when this daemon has kept a customer's bucket, or zero where
+// it does not.
+func (l *limits) since(now time.Time, name string) time.Time {
+	m := l.members.Load()
+	if m == nil || l.stopping() || l.keeper(name) != l.self || !slices.Contains(m.near, l.self) || l.alone(now, m) {
+		return time.Time{}
+	}
+	settled := m.first.Add(settleFor)
+	switch {
+	case now.Before(settled):
+		return time.Time{}
+	case m.since.Before(settled):
+		return settled
+	}
+	return m.since
 }
 
 // limit returns a customer's limit in force.
-func (s *spreader) limit(name string) (customer.Limit, bool) {
-	cfg := s.config.Load()
+func (l *limits) limit(name string) (customer.Limit, bool) {
+	cfg := l.config.Load()
 	if cfg == nil {
 		return customer.Limit{}, false
 	}
 	c, ok := cfg.Customer(name)
-	return customer.NewLimit(name, c.Rate(), c.Burst()), ok
+	return customer.NewLimit(name, c.Rate(), c.Burst(), l.centres), ok
 }
 
-// lend takes a token of a customer's reserve.
-func (s *spreader) lend(now time.Time, name string) bool {
-	limit, ok := s.limit(name)
-	return ok && s.shares.Lend(now, limit)
+// pass says whether a request of a customer is within its limit, and if not why,
+// and when its caller may come back.
+func (l *limits) pass(ctx context.Context, name string) (caller.Reason, time.Duration) {
+	now := time.Now()
+	ok, ask, again := l.prefetch.Take(now, name)
+	switch {
+	case ok && ask > 0:
+		go l.fetch(name, ask)
+		return caller.NoReason, 0
+	case ok:
+		return caller.NoReason, 0
+	case ask == 0:
+		return caller.OverLimit, again
+	}
+	g, reason := l.borrow(ctx, now, name, ask)
+	if g.Count() == 0 {
+		l.prefetch.Deposit(now, time.Now(), name, g, 0, false)
+		return reason, g.Again()
+	}
+	l.prefetch.Deposit(now, time.Now(), name, g, 1, false)
+	return caller.NoReason, 0
 }
 
-// borrow asks for a token of a customer's reserve.
-func (s *spreader) borrow(ctx context.Context, name string) bool {
+// fetch borrows tokens that no request waits for.
+func (l *limits) fetch(name string, n int) {
 	now := time.Now()
-	splitter := s.splitter(name)
-	if splitter == s.self {
-		return s.lend(now, name)
+	g, _ := l.borrow(l.ctx, now, name, n)
+	l.prefetch.Deposit(now, time.Now(), name, g, 0, true)
+}
+
+// borrow asks for tokens: the daemon of the data centre that keeps the bucket,
+// or where that one does not answer the reserve.
+func (l *limits) borrow(ctx context.Context, now time.Time, name string, n int) (customer.Grant, caller.Reason) {
+	keeper := l.keeper(name)
+	if keeper == l.self {
+		return l.lend(ctx, now, name, n)
 	}
-	m := s.message()
-	m.SetBorrow(name)
-	timeout := borrowTimeout
+	answer, err := l.ask(ctx, keeper, borrowTimeout, name, n, false)
+	if err == nil {
+		return decodeGrant(answer)
+	}
+	l.events.belief(false, "limit not reached", "customer", name, "at", keeper, "error", err.Error())
+	return l.fromReserve(ctx, now, name)
+}
+
+// lend takes tokens of the bucket that this daemon keeps, or one of the reserve.
+func (l *limits) lend(ctx context.Context, now time.Time, name string, n int) (customer.Grant, caller.Reason) {
+	limit, ok := l.limit(name)
+	if !ok {
+		return customer.Grant{}, caller.LimitUnknown
+	}
+	g, reserve := l.quota.Lend(now, limit, l.since(now, name), n)
+	if !reserve {
+		return g, caller.OverLimit
+	}
+	r, reason := l.fromReserve(ctx, now, name)
+	if r.Count() > 0 {
+		return r, caller.NoReason
+	}
+	l.quota.Dry(time.Now(), name, r.Again())
+	return g, reason
+}
+
+// fromReserve takes a token of a customer's reserve.
+func (l *limits) fromReserve(ctx context.Context, now time.Time, name string) (customer.Grant, caller.Reason) {
+	splitter := l.splitter(name)
+	if splitter == l.self {
+		return l.lendReserve(now, name)
+	}
+	answer, err := l.ask(ctx, splitter, reserveTimeout, name, 1, true)
+	if err != nil {
+		l.events.belief(false, "reserve not reached", "customer", name, "at", splitter, "error", err.Error())
+		return customer.NewGrant(0, 0, reserveTimeout), caller.LimitUnknown
+	}
+	return decodeGrant(answer)
+}
+
+func (l *limits) lendReserve(now time.Time, name string) (customer.Grant, caller.Reason) {
+	limit, ok := l.limit(name)
+	if !ok {
+		return customer.Grant{}, caller.LimitUnknown
+	}
+	return l.shares.Lend(now, limit), caller.OverLimit
+}
+
+// ask asks another daemon for tokens.
+func (l *limits) ask(ctx context.Context, at string, timeout time.Duration, name string, n int, reserve bool) (*schema.TokenGrant, error) {
+	m := l.message()
+	m.SetBorrow(schema.TokenRequest_builder{
+		Customer: proto.String(name),
+		Tokens:   proto.Uint32(uint32(n)),
+		Reserve:  proto.Bool(reserve),
+	}.Build())
 	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Duration(float64(deadline.Sub(now))*borrowShare))
+		timeout = min(timeout, time.Duration(float64(time.Until(deadline))*borrowShare))
 	}
-	answer, err := s.peers.exchange(ctx, splitter, timeout, m)
+	answer, err := l.peers.exchange(ctx, at, timeout, m)
 	if err != nil {
-		s.events.belief(false, "reserve not reached", "by", splitter, "error", err.Error())
-		return false
+		return nil, err //nolint:wrapcheck // the caller says what was asked
+	}
+	l.take(time.Now(), answer)
+	return answer.GetLent(), nil
+}
+
+// serve answers another daemon that asks for tokens.
+func (l *limits) serve(now time.Time, r *schema.TokenRequest) *schema.TokenGrant {
+	var g customer.Grant
+	var reason caller.Reason
+	if r.GetReserve() {
+		g, reason = l.lendReserve(now, r.GetCustomer())
+	} else {
+		g, reason = l.lend(l.ctx, now, r.GetCustomer(), int(r.GetTokens()))
+	}
+	return schema.TokenGrant_builder{
+		Tokens:   proto.Uint32(uint32(g.Count())),
+		Validity: proto.Int64(g.Validity().Microseconds()),
+		Again:    proto.Int64(g.Again().Microseconds()),
+		Over:     proto.Bool(reason == caller.OverLimit),
+	}.Build()
+}
+
+func decodeGrant(m *schema.TokenGrant) (customer.Grant, caller.Reason) {
+	g := customer.NewGrant(int(m.GetTokens()), time.Duration(m.GetValidity())*time.Microsecond,
+		time.Duration(m.GetAgain())*time.Microsecond)
+	if m.GetOver() {
+		return g, caller.OverLimit
+	}
+	return g, caller.LimitUnknown
+}
+
+// grant answers a daemon's demands with its parts of the limits.
+func (l *limits) grant(now time.Time, m *schema.Exchange) []*schema.Share {
+	if !m.GetSplit() {
+		return nil
+	}
+	var out []*schema.Share
+	for _, d := range m.GetDemands() {
+		limit, ok := l.limit(d.GetCustomer())
+		if !ok {
+			continue
+		}
+		part := l.shares.Tell(now, limit, m.GetFrom(), d.GetRequests(), d.GetPart())
+		out = append(out, schema.Share_builder{
+			Customer: proto.String(d.GetCustomer()),
+			Part:     proto.Float64(part),
+		}.Build())
+	}
+	return out
+}
+
+// granted takes over the parts that another daemon granted.
+func (l *limits) granted(now time.Time, shares []*schema.Share) {
+	for _, share := range shares {
+		l.quota.Grant(now, share.GetCustomer(), share.GetPart())
 	}
-	return answer.GetLent()
 }
 
-// report tells the daemon that splits limits what customers ask for here.
-func (s *spreader) report() {
-	for s.ctx.Err() == nil {
-		pause(s.ctx, demandEvery)
+// report tells the daemons that lease limits what is asked for here.
+func (l *limits) report() {
+	for l.ctx.Err() == nil {
+		pause(l.ctx, demandEvery)
 		now := time.Now()
-		var all []*schema.Demand
-		s.quota.Demands(now, func(name string, demand, part float64) {
-			if demand < leastReported && part == 0 {
-				return
-			}
-			all = append(all, schema.Demand_builder{
+		lists := make(map[string][]*schema.Demand)
+		l.quota.Demands(now, func(name string, rate, part float64) {
+			splitter := l.splitter(name)
+			lists[splitter] = append(lists[splitter], schema.Demand_builder{
 				Customer: proto.String(name),
-				Requests: proto.Float64(demand),
+				Requests: proto.Float64(rate),
 				Part:     proto.Float64(part),
 			}.Build())
 		})
-		lists := make(map[string][]*schema.Demand)
-		for _, d := range all {
-			splitter := s.splitter(d.GetCustomer())
-			lists[splitter] = append(lists[splitter], d)
-		}
 		for splitter, list := range lists {
-			m := s.message()
+			m := l.message()
 			m.SetDemands(list)
 			m.SetSplit(true)
-			s.tellSplitter(now, splitter, m)
+			l.tell(now, splitter, m)
 		}
 	}
 }
 
-// tellSplitter sends demands to the daemon that splits their limits, or takes
-// them itself where it is the one.
-func (s *spreader) tellSplitter(now time.Time, splitter string, m *schema.Exchange) {
-	if splitter == s.self {
-		for _, share := range s.grant(now, m) {
-			s.quota.Grant(now, share.GetCustomer(), share.GetPart())
-		}
+// tell sends demands to the daemon that leases their limits, or takes them
+// itself where it is the one.
+func (l *limits) tell(now time.Time, splitter string, m *schema.Exchange) {
+	if splitter == l.self {
+		l.granted(now, l.grant(now, m))
 		return
 	}
-	answer, err := s.peers.exchange(s.ctx, splitter, controlTimeout, m)
+	answer, err := l.peers.exchange(l.ctx, splitter, controlTimeout, m)
 	if err != nil {
-		s.events.belief(false, "limits not split", "by", splitter, "error", err.Error())
+		l.events.belief(false, "limits not leased", "by", splitter, "error", err.Error())
 		return
 	}
-	s.take(time.Now(), answer)
+	l.take(time.Now(), answer)
 }
 
-// splitter returns the daemon that splits a customer's limit.
-func (s *spreader) splitter(name string) string {
-	names := []string{s.self}
-	for _, h := range s.others() {
-		if h.Live() {
-			names = append(names, h.IP())
-		}
-	}
-	return peer.Top(name, names, 1)[0]
+// sweep forgets customers that were not asked for lately, and takes over that
+// daemons no longer count as leaving.
+func (l *limits) sweep(now time.Time) {
+	l.quota.Sweep(now)
+	l.prefetch.Sweep(now)
+	l.observe(now)
 }
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,9 +20,9 @@
 	// secondAfter is how much later than the first reader the others pass
 	// changes on.
 	secondAfter = 250 * time.Millisecond
-	// secondFanout is how many others a daemon that is no reader asks whether
-	// they lack a change.
-	secondFanout = 2
+	// echoFanout is how many others a daemon asks whether they lack a change that
+	// it did not hear from a reader.
+	echoFanout = 5
 	// treeFanout is how many daemons each one passes a change on to.
 	treeFanout = 4
 	// feedTimeout bounds one try to send changes: on a connection that has gone
@@ -57,35 +58,43 @@
 func newPushes() *table.Table[string, push] { return table.New[string, push](lock.Routes) }
 
 // changed passes changes on along the tree of the data centre, whose root is its
-// first reader. A little later another reader looks whether anyone lacks them,
-// and every other daemon asks a few, since both readers may be gone.
+// first reader. Another reader looks a little later whether anyone lacks them.
 func (s *spreader) changed() {
 	for _, ip := range peer.Children(s.recipients(), s.self, treeFanout) {
 		s.pushTo(ip)
 	}
-	rank := s.follower.rank()
-	if rank == 0 || !s.following.CompareAndSwap(false, true) {
+	if s.follower.rank() > 0 {
+		s.later(s.compareCentre)
+	}
+}
+
+// later does something once a little later, however often it is asked to.
+func (s *spreader) later(do func()) {
+	if !s.following.CompareAndSwap(false, true) {
 		return
 	}
 	time.AfterFunc(secondAfter, func() {
 		s.following.Store(false)
-		if rank > 0 {
-			s.compareCentre()
-			return
-		}
-		s.compareSome()
+		do()
 	})
 }
 
-// compareSome compares with a few daemons of the data centre drawn at random.
-func (s *spreader) compareSome() {
-	list := s.recipients()
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	for _, ip := range list[:min(secondFanout, len(list))] {
-		if ip != s.self {
-			s.begin(ip, push{})
-		}
+// echo asks a few daemons of the data centre whether they lack what this one
+// learned of a daemon that it does not hear changes from: its readers may be gone.
+func (s *spreader) echo(from string) {
+	order := s.recipients()
+	i := slices.Index(order, s.self)
+	if i > 0 && order[(i-1)/treeFanout] == from || slices.Contains(order[:min(readersPerCentre, len(order))], from) {
+		return
 	}
+	s.later(func() {
+		rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+		for _, ip := range order[:min(echoFanout, len(order))] {
+			if ip != s.self {
+				s.begin(ip, push{})
+			}
+		}
+	})
 }
 
 // recipients returns the daemons of the data centre in the order of the tree:
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -24,6 +25,7 @@
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/customer"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
@@ -84,8 +86,11 @@
 	// silent that of messages that are never answered.
 	loss, silent float64
 	// slow is how long a daemon takes to take in a message.
-	slow  time.Duration
-	store *testStore
+	slow    time.Duration
+	store   *testStore
+	centres int
+	// passed are the instants of requests within the customer's limit.
+	passed []time.Time
 }
 
 type testNode struct {
@@ -93,6 +98,7 @@
 	name     string
 	centre   string
 	spreader *spreader
+	limits   *limits
 	cancel   context.CancelFunc
 	out      *logs.Writer
 	// up says that the process runs, reach that it can reach the store, and
@@ -102,7 +108,7 @@
 }
 
 func newTestNet(centres []string, each int) *testNet {
-	n := &testNet{nodes: make(map[string]*testNode), store: newTestStore()}
+	n := &testNet{nodes: make(map[string]*testNode), store: newTestStore(), centres: len(centres)}
 	for c, centre := range centres {
 		for i := range each {
 			n.nodes[fmt.Sprintf("%s%d", centre, i+1)] = &testNode{
@@ -127,6 +133,9 @@
 // do runs one step of a script.
 func (n *testNet) do(t *testing.T, w []string, most time.Duration) string {
 	for i, name := range w {
+		if centre, _, ok := strings.Cut(name, "!"); ok {
+			w[i] = n.keeper(t, centre)
+		}
 		if centre, rank, ok := strings.Cut(name, "#"); ok {
 			w[i] = n.reader(t, centre, rank)
 		}
@@ -190,6 +199,10 @@
 		return n.told(w[1:], most)
 	case "lost":
 		return n.lost(w[1])
+	case "ask":
+		return n.ask(t, w[1:])
+	case "most":
+		return n.most()
 	case "aged":
 		return n.aged(most)
 	default:
@@ -219,6 +232,90 @@
 	return ""
 }
 
+// The limit of the customer of these scripts.
+const (
+	testCustomer = "kunde"
+	testRate     = 60
+	testBurst    = 30
+)
+
+// keeper returns the name of the daemon that keeps the limit in a data centre.
+func (n *testNet) keeper(t *testing.T, centre string) string {
+	for _, node := range n.nodes {
+		if node.centre != centre || !node.up || node.cut {
+			continue
+		}
+		ip := node.limits.keeper(testCustomer)
+		for name, other := range n.nodes {
+			if other.name == ip {
+				return name
+			}
+		}
+	}
+	t.Fatalf("nobody keeps the limit in %s", centre)
+	return ""
+}
+
+// ask sends requests: for how long, how many a second, and to the daemons of
+// which data centres. It says how many passed, and why others did not.
+func (n *testNet) ask(t *testing.T, w []string) string {
+	d, err := time.ParseDuration(w[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	rate, err := strconv.Atoi(w[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var to []*testNode
+	for _, name := range slices.Sorted(maps.Keys(n.nodes)) {
+		if node := n.nodes[name]; node.up && slices.Contains(w[2:], node.centre) {
+			to = append(to, node)
+		}
+	}
+	total := int(d.Seconds() * float64(rate))
+	verdicts := make(map[caller.Reason]int)
+	var all sync.WaitGroup
+	for i := range total {
+		all.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			reason, _ := to[i%len(to)].limits.pass(ctx, testCustomer)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			verdicts[reason]++
+			if reason == caller.NoReason {
+				n.passed = append(n.passed, time.Now())
+			}
+		})
+		time.Sleep(time.Second / time.Duration(rate))
+	}
+	all.Wait()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	tenths := func(reason caller.Reason) int { return (10*verdicts[reason] + total/2) / total }
+	return fmt.Sprintf("tenths passed %d, over %d, unknown %d", tenths(caller.NoReason), tenths(caller.OverLimit), tenths(caller.LimitUnknown))
+}
+
+// most says whether the bound of the limit was kept in any span of its length.
+func (n *testNet) most() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	const length = 5 * time.Second
+	allowed := (testRate*length.Seconds()+testBurst)*1.25 + 20
+	most, from := 0, 0
+	for to, at := range n.passed {
+		for at.Sub(n.passed[from]) >= length {
+			from++
+		}
+		most = max(most, to-from+1)
+	}
+	if float64(most) > allowed {
+		return fmt.Sprintf("%d of %g in a span", most, allowed)
+	}
+	return "within the bound"
+}
+
 func (n *testNet) setLoss(t *testing.T, w []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -353,6 +450,10 @@
 
 func (node *testNode) start() {
 	node.net.mu.Lock()
+	if node.up {
+		node.net.mu.Unlock()
+		return
+	}
 	node.up = true
 	node.learned = make(map[string]time.Time)
 	node.net.mu.Unlock()
@@ -368,17 +469,28 @@
 	window := customer.NewWindow(5*time.Second, 0.25, 20)
 	s := &spreader{
 		knowledge: k, follower: f, peers: node, self: node.name, centre: node.centre,
-		quota: customer.NewQuota(window), shares: customer.NewShares(window, true),
 		quarantine: backend.NewQuarantine(), ctx: ctx, told: newPushes(),
 	}
+	node.limits = &limits{
+		knowledge: k, peers: node, self: node.name, centre: node.centre, centres: node.net.centres,
+		quota: customer.NewQuota(window), shares: customer.NewShares(window, true),
+		prefetch: customer.NewPrefetch(), ctx: ctx, message: s.message, take: s.take,
+		leaving: newLeaving(), stopping: f.leaving.Load,
+	}
+	s.limits = node.limits
 	s.seeds.Store(&[]string{})
 	f.lost = s.compareCentre
 	k.changed = func(time.Time) {
 		s.others()
+		if s.limits.members.Load() == nil {
+			defer func() { go s.compareCentre() }()
+		}
+		s.limits.observe(time.Now())
 		go s.changed()
 	}
 	node.spreader = s
 	go f.run(ctx)
+	go s.limits.report()
 	go s.run()
 	go s.beat()
 }
@@ -405,7 +517,9 @@
 		if err != nil {
 			return nil, err
 		}
-		cfg, err := operator.NewDraft(n).Config()
+		d := operator.NewDraft(n)
+		d.AddCustomer(operator.NewCustomer(testCustomer, nil, 0, testRate, testBurst))
+		cfg, err := d.Config()
 		return NewConfigChange(cfg), err
 	}
 	if i.Removed() {
--- a/internal/sidecar/spreader.go
+++ b/internal/sidecar/spreader.go
@@ -10,7 +10,6 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
-	"github.com/lycheehead/lycheehead/pkg/customer"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
@@ -42,8 +41,7 @@
 	self       string
 	centre     string
 	seeds      atomic.Pointer[[]string]
-	quota      *customer.Quota
-	shares     *customer.Shares
+	limits     *limits
 	quarantine *backend.Quarantine
 	ctx        context.Context //nolint:containedctx // the daemon's own, for work in the background
 	// told is what each daemon was told.
@@ -99,9 +97,9 @@
 	if behind && m.GetWant() {
 		s.attach(out, m.GetRevision())
 	}
-	out.SetShares(s.grant(now, m))
-	if name := m.GetBorrow(); name != "" {
-		out.SetLent(s.lend(now, name))
+	out.SetShares(s.limits.grant(now, m))
+	if m.HasBorrow() {
+		out.SetLent(s.limits.serve(now, m.GetBorrow()))
 	}
 	return out
 }
--- a/pkg/caller/outcome.go
+++ b/pkg/caller/outcome.go
@@ -27,6 +27,7 @@
 	BadKey       Reason = "key"
 	NoRoute      Reason = "route"
 	OverLimit    Reason = "limit"
+	LimitUnknown Reason = "limit-unknown"
 	Overload     Reason = "overload"
 	Deadline     Reason = "deadline"
 	Cancelled    Reason = "cancelled"
--- a/pkg/customer/borrower.go
+++ b/pkg/customer/borrower.go
@@ -47,18 +47,12 @@
 	Refuse
 )
 
-// tokens are borrowed together and end together.
-type tokens struct {
-	count int
-	end   time.Time
-}
-
 // account is what a daemon knows of one customer.
 type account struct {
 	split  Split
 	order  []int
 	number uint64
-	stock  []tokens
+	stock  stock
 	// dry maps an allotment's index to when asking it again may help.
 	dry      map[int]time.Time
 	borrower bool
@@ -147,7 +141,7 @@
 }
 
 func (w *Borrower) step(a *account, now time.Time, customer string) (Step, Loan, <-chan struct{}) {
-	if a.spend(now) {
+	if a.stock.spend(now) {
 		return Spend, Loan{}, nil
 	}
 	if a.borrower {
@@ -165,19 +159,6 @@
 	return Refuse, Loan{}, nil
 }
 
-// spend takes the token that ends first.
-func (a *account) spend(now time.Time) bool {
-	for len(a.stock) > 0 {
-		t := &a.stock[0]
-		if t.count > 0 && now.Before(t.end) {
-			t.count--
-			return true
-		}
-		a.stock = a.stock[1:]
-	}
-	return false
-}
-
 // note counts a request towards the customer's demand at this daemon.
 func (a *account) note(now time.Time) {
 	if d := now.Sub(a.seen); d > 0 && !a.seen.IsZero() {
--- a/pkg/customer/quota_test.go
+++ b/pkg/customer/quota_test.go
@@ -22,6 +22,9 @@
 	})
 }
 
+// centres is the number of data centres in a history, with two daemons each.
+const centres = 3
+
 // member is one daemon in a history.
 type member struct {
 	name  string
@@ -29,77 +32,137 @@
 	// shares is the daemon's own, in broken histories.
 	shares *customer.Shares
 	cut    bool
+	// since is when it began to keep the limit of its data centre, and until when
+	// it goes on after the others think that another one does.
+	since, until time.Time
+}
+
+// history is one customer's limit over a fleet.
+type history struct {
+	now     time.Time
+	limit   customer.Limit
+	window  customer.Window
+	members []*member
+	shares  *customer.Shares
+	// load is how many requests come in each data centre in each step.
+	load [centres]int
+	// late is how long lent tokens are held before they are spent.
+	late   time.Duration
+	passed []time.Time
+	broken bool
+}
+
+// keeper returns the daemon that a data centre's requests ask for tokens.
+func (h *history) keeper(centre int) *member {
+	for _, m := range h.members[2*centre : 2*centre+2] {
+		if !m.since.IsZero() && m.until.IsZero() {
+			return m
+		}
+	}
+	panic("no keeper")
+}
+
+func (h *history) step() {
+	h.now = h.now.Add(50 * time.Millisecond)
+	for c, n := range h.load {
+		asked := []*member{h.keeper(c)}
+		for _, m := range h.members[2*c : 2*c+2] {
+			if m.until.After(h.now) {
+				asked = append(asked, m)
+			}
+		}
+		for _, m := range asked {
+			for range n {
+				h.ask(m)
+			}
+		}
+	}
+}
+
+func (h *history) ask(m *member) {
+	since := m.since
+	if m.until.Before(h.now) && !m.until.IsZero() {
+		since = time.Time{}
+	}
+	g, reserve := m.quota.Lend(h.now, h.limit, since, 2)
+	if reserve && !m.cut {
+		if g = h.shares.Lend(h.now, h.limit); g.Count() == 0 {
+			m.quota.Dry(h.now, "kunde", g.Again())
+		}
+	}
+	for range g.Count() {
+		h.passed = append(h.passed, h.now.Add(min(h.late, g.Validity())))
+	}
+}
+
+func (h *history) report() {
+	for _, m := range h.members {
+		if m.cut {
+			continue
+		}
+		shares := h.shares
+		if h.broken {
+			shares = m.shares
+		}
+		asked, rate, held := false, 0.0, 0.0
+		m.quota.Demands(h.now, func(_ string, r, p float64) { asked, rate, held = true, r, p })
+		if asked {
+			m.quota.Grant(h.now, "kunde", shares.Tell(h.now, h.limit, m.name, rate, held))
+		}
+	}
 }
 
 // spend plays a history. In a broken one each daemon splits limits by itself.
 func spend(t *rapid.T, broken bool) {
 	const length, over, slack = 5 * time.Second, 0.25, 20.0
-	window := customer.NewWindow(length, over, slack)
+	h := &history{window: customer.NewWindow(length, over, slack), broken: broken, now: time.Unix(1000, 0)}
 	rate := rapid.SampledFrom([]float64{3, 30, 300}).Draw(t, "rate")
 	burst := rate * rapid.SampledFrom([]float64{0.5, 1}).Draw(t, "burst")
-	now := time.Unix(1000, 0)
-	var members []*member
-	for i := range 6 {
-		members = append(members, &member{name: "d" + strconv.Itoa(i), quota: customer.NewQuota(window), shares: customer.NewShares(window, true)})
-	}
-	shares := customer.NewShares(window, true)
-	limit := customer.NewLimit("kunde", rate, burst)
-	var passed []time.Time
-	load := make([]int, len(members))
-	draw := func(t *rapid.T) int { return rapid.IntRange(0, len(members)-1).Draw(t, "member") }
-	tick := func() {
-		now = now.Add(50 * time.Millisecond)
-		for i, m := range members {
-			for range load[i] {
-				switch m.quota.Take(now, "kunde", rate, burst) {
-				case customer.Passed:
-					passed = append(passed, now)
-				case customer.Borrowable:
-					if !m.cut && shares.Lend(now, limit) {
-						passed = append(passed, now)
-					} else {
-						m.quota.Empty(now, "kunde")
-					}
-				}
-			}
-		}
-	}
-	report := func() {
-		for _, m := range members {
-			if m.cut {
-				continue
-			}
-			shares := shares
-			if broken {
-				shares = m.shares
-			}
-			asked, demand, held := false, 0.0, 0.0
-			m.quota.Demands(now, func(_ string, d, h float64) { asked, demand, held = true, d, h })
-			if asked {
-				m.quota.Grant(now, "kunde", shares.Tell(now, limit, m.name, demand, held))
-			}
+	h.limit = customer.NewLimit("kunde", rate, burst, centres)
+	h.shares = customer.NewShares(h.window, true)
+	for i := range 2 * centres {
+		m := &member{name: "d" + strconv.Itoa(i), quota: customer.NewQuota(h.window), shares: customer.NewShares(h.window, true)}
+		if i%2 == 0 {
+			m.since = h.now
 		}
+		h.members = append(h.members, m)
 	}
+	draw := func(t *rapid.T) int { return rapid.IntRange(0, len(h.members)-1).Draw(t, "member") }
 	t.Repeat(map[string]func(*rapid.T){
 		"second": func(*rapid.T) {
 			for range 20 {
-				tick()
+				h.step()
+			}
+			h.report()
+		},
+		"load": func(t *rapid.T) {
+			h.load[draw(t)/2] = rapid.IntRange(0, int(rate/5)+1).Draw(t, "load")
+		},
+		"restart": func(t *rapid.T) { h.members[draw(t)].quota = customer.NewQuota(h.window) },
+		"cut":     func(t *rapid.T) { m := h.members[draw(t)]; m.cut = !m.cut },
+		"late":    func(t *rapid.T) { h.late = time.Duration(rapid.IntRange(0, 400).Draw(t, "late")) * time.Millisecond },
+		"keeper": func(t *rapid.T) {
+			c := draw(t) / 2
+			old := h.keeper(c)
+			for _, m := range h.members[2*c : 2*c+2] {
+				if m != old && m.until.Before(h.now) {
+					old.until = h.now.Add(400 * time.Millisecond)
+					m.since, m.until = h.now, time.Time{}
+					return
+				}
 			}
-			report()
 		},
-		"load":    func(t *rapid.T) { load[draw(t)] = rapid.IntRange(0, int(rate/10)+1).Draw(t, "load") },
-		"restart": func(t *rapid.T) { members[draw(t)].quota = customer.NewQuota(window) },
-		"cut":     func(t *rapid.T) { m := members[draw(t)]; m.cut = !m.cut },
 		"splitter": func(*rapid.T) {
-			if !slices.ContainsFunc(members, func(m *member) bool { return m.cut }) {
-				shares = customer.NewShares(window, false)
+			if !slices.ContainsFunc(h.members, func(m *member) bool { return m.cut }) {
+				h.shares = customer.NewShares(h.window, false)
 			}
 		},
 	})
+	slices.SortFunc(h.passed, time.Time.Compare)
 	allowed := (rate*length.Seconds()+burst)*(1+over) + slack
 	from := 0
-	for to, at := range passed {
-		for at.Sub(passed[from]) >= length {
+	for to, at := range h.passed {
+		for at.Sub(h.passed[from]) >= length {
 			from++
 		}
 		if n := to - from + 1; float64(n) > allowed {
@@ -110,20 +173,41 @@
 
 func ExampleQuota() {
 	window := customer.NewWindow(5*time.Second, 0.25, 20)
-	shares := customer.NewShares(window, true)
 	quota := customer.NewQuota(window)
-	limit := customer.NewLimit("kunde", 100, 50)
+	limit := customer.NewLimit("kunde", 100, 50, 3)
+	begin := time.Unix(0, 0)
+	g, _ := quota.Lend(begin, limit, begin, 1)
+	fmt.Println(g.Count())
+	g, _ = quota.Lend(begin.Add(time.Second), limit, begin, 4)
+	fmt.Println(g.Count())
+	// Output:
+	// 0
+	// 4
+}
+
+func ExampleShares() {
+	window := customer.NewWindow(5*time.Second, 0.25, 20)
+	shares := customer.NewShares(window, true)
+	limit := customer.NewLimit("kunde", 100, 50, 3)
 	now := time.Unix(0, 0)
-	fmt.Println(quota.Take(now, "kunde", 100, 50) == customer.Borrowable)
-	fmt.Println(shares.Lend(now, limit))
-	for range 2 {
-		// At first nothing is leased: others may hold leases of another daemon's.
-		quota.Grant(now, "kunde", shares.Tell(now, limit, "daemon-1", 1, 0))
-		now = now.Add(2 * time.Second)
-	}
-	fmt.Println(quota.Take(now, "kunde", 100, 50) == customer.Passed)
+	// At first nothing is leased: others may hold leases of another daemon's.
+	fmt.Println(shares.Tell(now, limit, "daemon-1", 80, 0))
+	now = now.Add(2 * time.Second)
+	fmt.Println(shares.Tell(now, limit, "daemon-1", 80, 0) > 0.25)
 	// Output:
+	// 0
 	// true
-	// true
+}
+
+func ExamplePrefetch() {
+	p := customer.NewPrefetch()
+	now := time.Unix(0, 0)
+	ok, ask, _ := p.Take(now, "kunde")
+	fmt.Println(ok, ask)
+	p.Deposit(now, now, "kunde", customer.NewGrant(3, time.Second, 0), 1, false)
+	ok, _, _ = p.Take(now, "kunde")
+	fmt.Println(ok)
+	// Output:
+	// false 1
 	// true
 }
