Place by the part of the objective that a choice takes

A faster backend server elsewhere was preferred to a slower one at hand, although both kept the objective, and of four instances drawn at random over all data centres one in five draws had none at hand. What crosses is paid for, and delays others on links of 10 Mbit/s.

Change: leaving the data centre costs 0.35 of the time to the objective and 0.02 of it a kilobyte, and four instances of the own data centre are compared with two of the others.

--- a/pkg/upstream/placer.go
+++ b/pkg/upstream/placer.go
@@ -25,12 +25,14 @@
 	gradeWeight = 0.1
 	// gradeHalfLife is how fast failures are forgiven.
 	gradeHalfLife = 2 * time.Second
-	// hopDelay is what a hop to another machine costs, and farDelay one to another
-	// data centre, where each kilobyte costs farPerKB more: links between data
-	// centres are narrow and paid for.
+	// hopDelay is what a hop to another machine costs. Leaving the data centre
+	// costs farShare of the time to the request's objective, at the least farDelay,
+	// and farPerKB of it for each kilobyte: links between data centres are narrow
+	// and paid for, and an answer that keeps its objective need not come sooner.
 	hopDelay = time.Millisecond
 	farDelay = 20 * time.Millisecond
-	farPerKB = 10 * time.Millisecond
+	farShare = 0.35
+	farPerKB = 0.02
 	// busyShare is how much longer a run takes at a backend server whose slots
 	// are all taken.
 	busyShare = 0.3
@@ -98,8 +100,10 @@
 	failures float64
 	local    bool
 	near     bool
-	// size is the expected bytes of the request with its answer.
-	size int
+	// size is the expected bytes of the request with its answer, and objective the
+	// time in which it should be answered.
+	size      int
+	objective time.Duration
 }
 
 // Instance returns the instance.
@@ -129,7 +133,8 @@
 	case o.near:
 		return hopDelay
 	}
-	return farDelay + time.Duration(o.size)*farPerKB/1024
+	objective := float64(o.objective)
+	return max(farDelay, time.Duration(objective*farShare)) + time.Duration(objective*farPerKB*float64(o.size)/1024)
 }
 
 // Preference orders the instances that a request may be placed at.
@@ -179,14 +184,18 @@
 	failing    *table.Table[string, float64]
 }
 
-// Parcel is what is placed: a request of a kind, with the bytes of its body.
+// Parcel is what is placed: a request of a kind, with the bytes of its body and
+// the time that is left to its objective.
 type Parcel struct {
-	kind string
-	size int
+	kind      string
+	size      int
+	objective time.Duration
 }
 
 // NewParcel returns a request to be placed.
-func NewParcel(kind string, size int) Parcel { return Parcel{kind: kind, size: size} }
+func NewParcel(kind string, size int, objective time.Duration) Parcel {
+	return Parcel{kind: kind, size: size, objective: max(objective, 0)}
+}
 
 // NewPlacer returns the placer of the daemon on a host in a data centre.
 func NewPlacer[P Preference](preference P, host, centre string) *Placer[P] {
@@ -201,9 +210,13 @@
 	}
 }
 
-// choices is how many instances are compared for one request: a few drawn at
-// random keep daemons with the same knowledge from all taking the same one.
-const choices = 4
+// choices is how many instances of the data centre, and farChoices how many of the
+// others, are compared for one request: a few drawn at random keep daemons with
+// the same knowledge from all taking the same one.
+const (
+	choices    = 4
+	farChoices = 2
+)
 
 // Place chooses among instances, without those tried before, and counts a
 // request in flight. End ends that request. An instance that is left alone is
@@ -259,6 +272,8 @@
 		near:     i.Centre() == p.centre,
 		work:     p.work(i.ID(), r.kind),
 		size:     p.size(r),
+
+		objective: r.objective,
 	}, now.Before(k.avoid)
 }
 
@@ -276,12 +291,17 @@
 // always among them.
 func (p *Placer[P]) least(rnd Rand, options []Option) Option {
 	rnd.Shuffle(len(options), func(i, j int) { options[i], options[j] = options[j], options[i] })
-	best, cost, seen := Option{}, math.Inf(1), 0
+	best, cost := Option{}, math.Inf(1)
+	near, far := choices, farChoices
 	for _, o := range options {
-		if seen >= choices && !o.local {
+		left := &far
+		if o.near {
+			left = &near
+		}
+		if *left == 0 && !o.local {
 			continue
 		}
-		seen++
+		*left = max(0, *left-1)
 		if c := p.preference.Cost(o); c < cost {
 			best, cost = o, c
 		}
