Call the store seldom: lists that may be old, watches at rest, few that try again

Until the first version was published every daemon watched, and each of 66 entries that appeared ended all those watches; each change in a storm ended each reader's watch; while the store was away every daemon tried it once a second.

Change: the first list may be some seconds old, which counts a tenth, and is taken as complete up to the newest item of its first page; the watch that follows tells the rest. Daemons stop reading once they have heard the store, unless they are among the readers. Readers rest 0.1 s, the second one 0.5 s, between watches. Where the store is away the first two of a data centre try again, the others each 4 s while their copy is old.

--- a/internal/sidecar/follower.go
+++ b/internal/sidecar/follower.go
@@ -19,15 +19,21 @@
 	watchWait = 2 * time.Second
 	// answerTimeout bounds an answer of the store beyond what it may wait.
 	answerTimeout = 1200 * time.Millisecond
+	// firstPause and laterPause are the times between two watches of the first
+	// reader and of the others, so that changes in quick succession take few calls.
+	firstPause = 100 * time.Millisecond
+	laterPause = 500 * time.Millisecond
 	// retryFirst and retryLast bound the time between two tries at a store that
-	// is away.
+	// is away; retryRare is that of daemons that need not read it.
 	retryFirst = 150 * time.Millisecond
 	retryLast  = time.Second
+	retryRare  = 4 * time.Second
 	// readersPerCentre is how many daemons of a data centre read the store.
 	readersPerCentre = 2
 	// staleAfter is how old a daemon's copy may be before it reads the store
-	// itself.
+	// itself, and staleFor how long it then goes on.
 	staleAfter = 4 * time.Second
+	staleFor   = 10 * time.Second
 	// roleEvery is the time between two decisions whether to read.
 	roleEvery = 500 * time.Millisecond
 )
@@ -44,6 +50,9 @@
 	// to stop, and others until when each daemon is passed over that said so.
 	away, leaving atomic.Bool
 	others        *table.Table[string, time.Time]
+	// alone is until when this daemon reads because its copy was old, in
+	// nanoseconds since begin.
+	alone atomic.Int64
 	// lost is called when this daemon can no longer read the store, to tell those
 	// that it reads for.
 	lost func()
@@ -65,25 +74,40 @@
 			pause(ctx, roleEvery)
 			continue
 		}
-		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
-			f.events.belief(true, "store lost", "error", err.Error(), "age", f.age(time.Now()).String())
-			if f.away.CompareAndSwap(false, true) {
-				f.lost()
-			}
-			pause(ctx, wait)
-			wait = min(2*wait, retryLast)
+		err := f.follow(ctx)
+		if err == nil || ctx.Err() != nil {
+			wait = retryFirst
 			continue
 		}
-		wait = retryFirst
+		f.events.belief(true, "store lost", "error", err.Error(), "age", f.age(time.Now()).String())
+		if f.away.CompareAndSwap(false, true) {
+			f.lost()
+		}
+		if f.confirmed.Load() > 0 && !f.first() {
+			pause(ctx, retryRare)
+			continue
+		}
+		pause(ctx, wait)
+		wait = min(2*wait, retryLast)
 	}
 }
 
 // reads says whether this daemon is to read the store.
 func (f *follower) reads(now time.Time) bool {
-	if f.config.Load() == nil || f.age(now) > staleAfter {
+	switch {
+	case f.confirmed.Load() == 0:
+		return true
+	case f.age(now) > staleAfter:
+		f.alone.Store(int64(now.Add(staleFor).Sub(f.begin)))
+		return true
+	case f.away.Load() && !f.first():
+		// Others read; whether this daemon could, shows when it has to.
+		f.away.Store(false)
+		return false
+	case f.away.Load(), now.Sub(f.begin) < time.Duration(f.alone.Load()):
 		return true
 	}
-	return f.away.Load() || f.rank() >= 0
+	return f.rank() >= 0
 }
 
 // rank returns which of the readers of its data centre this daemon is, or -1.
@@ -95,18 +119,33 @@
 	return slices.Index(order[:min(readersPerCentre, len(order))], f.self)
 }
 
+// first says whether this daemon is one of those that read the store where all of
+// its data centre can.
+func (f *follower) first() bool {
+	order := f.ranked(func(string) bool { return true })
+	return len(order) == 0 || slices.Contains(order[:min(readersPerCentre, len(order))], f.self)
+}
+
 // order returns the daemons of the data centre that can read the store, the
 // readers first.
 func (f *follower) order() []string {
 	now := time.Now()
+	return f.ranked(func(name string) bool {
+		if name == f.self {
+			return !f.unfit()
+		}
+		until, away := f.others.Get(name)
+		return !away || !now.Before(until)
+	})
+}
+
+// ranked returns the daemons of the data centre that are fit, in the order in
+// which they read the store.
+func (f *follower) ranked(fit func(name string) bool) []string {
 	var names []string
 	for _, h := range f.fleet.Hosts() {
-		name := h.IP()
-		if until, away := f.others.Get(name); away && now.Before(until) {
-			continue
-		}
-		if h.Live() && h.Centre() == f.centre && !(name == f.self && f.unfit()) {
-			names = append(names, name)
+		if h.Live() && h.Centre() == f.centre && fit(h.IP()) {
+			names = append(names, h.IP())
 		}
 	}
 	return peer.Rank(f.centre, names)
@@ -115,7 +154,8 @@
 // follow reads what is missing and then watches, as long as this daemon reads.
 func (f *follower) follow(ctx context.Context) error {
 	if f.copy.Revision() == 0 {
-		if err := f.list(ctx); err != nil {
+		// The watch that follows tells what the list, which may be old, lacks.
+		if err := f.list(ctx, false); err != nil {
 			return err
 		}
 	}
@@ -126,28 +166,38 @@
 		err := f.watch(ctx)
 		if errors.Is(err, ErrHistory) {
 			f.events.belief(true, "store has forgotten changes", "revision", f.copy.Revision())
-			err = f.list(ctx)
+			err = f.list(ctx, true)
 		}
 		if err != nil {
 			return err
 		}
+		f.rest(ctx)
 	}
 	return nil
 }
 
-// list reads everything.
-func (f *follower) list(ctx context.Context) error {
+// rest waits until the next watch is worth a call.
+func (f *follower) rest(ctx context.Context) {
+	if f.rank() == 0 {
+		pause(ctx, firstPause)
+		return
+	}
+	pause(ctx, laterPause)
+}
+
+// list reads everything. Unless it is to be current, it may be some seconds old.
+func (f *follower) list(ctx context.Context, current bool) error {
 	var upTo uint64
 	for i, prefix := range f.prefixes {
 		ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 		begin := time.Now()
-		items, revision, err := f.source.List(ctx, prefix)
+		items, revision, err := f.source.List(ctx, prefix, current)
 		cancel()
 		if err != nil {
 			return err //nolint:wrapcheck // the source says what failed
 		}
 		now := time.Now()
-		if i == 0 {
+		if i == 0 && current {
 			f.confirm(begin)
 		}
 		f.relearn(now, prefix, items, revision)
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -82,8 +82,9 @@
 // Source reads the operators' store.
 type Source interface {
 	// List returns all items under a prefix and a revision up to which the list
-	// is complete.
-	List(ctx context.Context, prefix string) (items []replica.Item, revision uint64, err error)
+	// is complete. Unless it is to be current, the list may be some seconds old,
+	// which costs the store less.
+	List(ctx context.Context, prefix string, current bool) (items []replica.Item, revision uint64, err error)
 	// Watch returns the changes under a prefix after a revision as soon as there
 	// are any, or none after wait, and the revision to go on from.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []replica.Item, revision uint64, err error)
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -203,6 +203,8 @@
 		return n.ask(t, w[1:])
 	case "most":
 		return n.most()
+	case "calls":
+		return n.store.called(t, w[1])
 	case "aged":
 		return n.aged(most)
 	default:
@@ -530,7 +532,7 @@
 }
 
 // List implements Source.
-func (node *testNode) List(ctx context.Context, prefix string) ([]replica.Item, uint64, error) {
+func (node *testNode) List(ctx context.Context, prefix string, _ bool) ([]replica.Item, uint64, error) {
 	items, revision, err := node.read(ctx, 0, 0)
 	return slices.DeleteFunc(items, func(i replica.Item) bool { return !strings.HasPrefix(i.Key(), prefix) }), revision, err
 }
@@ -557,6 +559,7 @@
 	items   []replica.Item
 	times   map[string]time.Time
 	away    bool
+	calls   int
 	changed chan struct{}
 }
 
@@ -585,6 +588,23 @@
 	return s.times[key]
 }
 
+// called says whether the store was called more often than a bound since it was
+// asked last.
+func (s *testStore) called(t *testing.T, bound string) string {
+	most, err := strconv.Atoi(bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.calls
+	s.calls = 0
+	if n > most {
+		return fmt.Sprintf("%d calls", n)
+	}
+	return "within the bound"
+}
+
 func (s *testStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -595,6 +615,7 @@
 
 func (s *testStore) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
 	s.mu.Lock()
+	s.calls++
 	changed := s.changed
 	waits := !s.away && wait > 0 && int(after) == len(s.items)
 	s.mu.Unlock()
