Probe silent daemons apart from requests, and hold back what runs once until it is admitted

Ruled out: too few daemons tried (four), clocks.

Change: a daemon that does not answer gets no request until a question of its own, asked after 0.1 s and at most each second, is answered; it tells its data centre, whose daemons ask for themselves. The body of a request that runs once is sent only when the daemon beside the backend server has admitted it: before that it has not run, and may go elsewhere. Bodies up to 1 MB are read whole before the backend server gets their head. The pace of cold backend servers follows the settings' bounds (1.4 of the stated rate and 0.7 of the slack, of 1.5 and all).

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -147,6 +147,8 @@
 		return "cannot connect"
 	case errors.Is(err, http1.ErrNotSent):
 		return "not sent"
+	case errors.Is(err, http1.ErrHeldBack):
+		return "held back"
 	case errors.Is(err, http1.ErrLost):
 		return "lost"
 	case err != nil:
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -76,6 +76,9 @@
 func (c *conn) exchange(ctx context.Context, r *Request) (resp *Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	if !r.await || !r.hasBody() {
+		r.committed()
+	}
 	before := c.counted.n
 	if err := c.sendHead(r); err != nil {
 		if c.counted.n == before {
@@ -86,9 +89,14 @@
 	sent := make(chan error, 1)
 	if r.await && r.hasBody() {
 		resp, err := c.awaitContinue(r)
-		if resp != nil || err != nil {
-			return resp, false, err
+		if err != nil {
+			// Without its body the server cannot have run the request.
+			return nil, false, fmt.Errorf("%w: %w", ErrHeldBack, err)
+		}
+		if resp != nil {
+			return resp, false, nil
 		}
+		r.committed()
 	}
 	small := r.rest == nil && len(r.start) <= bufferSize
 	if r.hasBody() && !small {
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -18,6 +18,7 @@
 	rest                 io.Reader
 	length               int64
 	await                bool
+	commit               func()
 	fresh                bool
 	match                func(http.Header) bool
 }
@@ -37,6 +38,10 @@
 // SetAwait has the body held back until the server asks for it.
 func (r *Request) SetAwait() { r.await = true }
 
+// SetCommit has commit called before any byte is sent without which the server
+// cannot run the request.
+func (r *Request) SetCommit(commit func()) { r.commit = commit }
+
 // SetFresh has the request sent on a connection that was in use a moment ago or
 // is new, since a server may have closed an idle one unseen.
 func (r *Request) SetFresh() { r.fresh = true }
@@ -77,6 +82,13 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
+// committed tells that the request goes beyond recall.
+func (r *Request) committed() {
+	if r.commit != nil {
+		r.commit()
+	}
+}
+
 // writeBody writes the body. An error that is ErrBody comes from its source.
 func (r *Request) writeBody(w *bufio.Writer) error {
 	if r.length < 0 {
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -183,6 +183,11 @@
 // run sends admitted work. The process may have been suspended while the work
 // waited, so what decides is looked at once more.
 func (a *admission) run(ctx context.Context, w *work, ad admitted) *result {
+	if err := w.body.fetch(time.Now()); err != nil {
+		a.queue.Done(time.Now(), ad.claim, backend.Ended)
+		a.events.request(true, "body not read", w.id, "error", err.Error())
+		return unrun(caller.Cancelled)
+	}
 	now := time.Now()
 	id, reason := a.target(now, w, ad.instance)
 	left := w.deadline.Sub(now) - w.suspended.Since()
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -39,6 +39,7 @@
 	follower  *follower
 	spreader  *spreader
 	limits    *limits
+	reach     *reach
 	admission *admission
 	ingress   *ingress
 	inbound   *inbound
@@ -125,11 +126,18 @@
 	d.current.Store(s)
 	d.admission.crashed = d.spreader.crashed
 	d.follower.lost = d.spreader.compareCentre
+	placer := upstream.NewPlacer(upstream.ByDelay{}, inboundAt.Addr().String(), s.GetCentre())
+	d.reach = &reach{
+		ctx: ctx, placer: placer, events: d.events,
+		ping: d.peers.ping, known: d.spreader.published, tell: d.spreader.unreached,
+	}
+	d.spreader.reach = d.reach
 	d.sender = &sender{
 		knowledge: d.knowledge,
+		reach:     d.reach,
 		self:      inboundAt.Addr().String(),
 		pool:      d.pool,
-		placer:    upstream.NewPlacer(upstream.ByDelay{}, inboundAt.Addr().String(), s.GetCentre()),
+		placer:    placer,
 		admission: d.admission,
 		peers:     d.peers,
 		sends:     caller.NewSends(b.GetRetryRatio(), b.GetRetrySlack(), b.GetRetryWindow().AsDuration()),
@@ -168,6 +176,7 @@
 }
 
 func (d *Daemon) newAdmission(p Protocol, address fleet.Address) *admission {
+	b := d.settings.GetBounds()
 	return &admission{
 		knowledge:  d.knowledge,
 		protocol:   p,
@@ -175,7 +184,7 @@
 		service:    d.settings.GetService(),
 		centre:     d.settings.GetCentre(),
 		address:    address,
-		queue:      backend.NewQueue(backend.NewSlots(firstSlots)),
+		queue:      backend.NewQueue(backend.NewSlots(firstSlots), backend.NewPace(b.GetColdOver(), b.GetColdSlack())),
 		client:     http1.NewClient(address.String(), dialBackend, connectionsMost),
 		quarantine: backend.NewQuarantine(),
 		own:        &sight{mu: lock.New(lock.Calls)},
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -70,6 +70,9 @@
 		s.events.belief(true, "crash told", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
 	}
 	s.limits.granted(now, m.GetShares())
+	if ip := m.GetUnreached(); ip != "" && ip != s.self {
+		go s.reach.told(ip)
+	}
 	return m.GetRevision() < s.copy.Revision()
 }
 
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,8 +31,8 @@
 	work := decodeHop(hop, time.Now())
 	work.method, work.target, work.host, work.header = r.Method, r.RequestURI, r.Host, r.Header
 	work.id = in.admission.protocol.Caller(r.Header).ID()
+	b, err := readSmall(w, r)
 	dropConnectionFields(work.header)
-	b, err := readSmall(r)
 	if err != nil {
 		// The sending daemon has gone; nobody reads an answer.
 		panic(http.ErrAbortHandler)
@@ -40,19 +41,29 @@
 	reply(w, in.admission.serve(r.Context(), work, hop.GetInstance(), !hop.GetFinal()))
 }
 
-// readSmall reads a small body whole and leaves a larger one to be streamed.
-func readSmall(r *http.Request) (body, error) {
+// bodyWait bounds how long an admitted request waits for its body.
+const bodyWait = time.Second
+
+// readSmall reads a small body whole and leaves a larger one, or one that the
+// sender holds back, to be read once the request has been admitted.
+func readSmall(w http.ResponseWriter, r *http.Request) (body, error) {
 	switch {
 	case r.ContentLength == 0:
 		return body{}, nil
-	case r.ContentLength > 0 && r.ContentLength <= smallBody:
+	case r.ContentLength > 0 && r.ContentLength <= smallBody && r.Header.Get("Expect") == "":
 		data, err := io.ReadAll(r.Body)
 		if err == nil && int64(len(data)) != r.ContentLength {
 			err = io.ErrUnexpectedEOF
 		}
 		return body{start: data, length: r.ContentLength}, err
 	}
-	return body{rest: r.Body, length: r.ContentLength}, nil
+	control := http.NewResponseController(w)
+	return body{rest: r.Body, length: r.ContentLength, bound: func(until time.Time) error {
+		if err := control.SetReadDeadline(until); err != nil {
+			return fmt.Errorf("bound body: %w", err)
+		}
+		return nil
+	}}, nil
 }
 
 // reply answers another daemon.
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -11,6 +11,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/table"
@@ -233,3 +234,24 @@
 		}()
 	}
 }
+
+// unreached tells the daemons of the data centre that one does not answer.
+func (s *spreader) unreached(ip string) {
+	for _, to := range s.recipients() {
+		if to == s.self || to == ip {
+			continue
+		}
+		m := s.message()
+		m.SetUnreached(ip)
+		go func() {
+			if _, err := s.peers.exchange(s.ctx, to, controlTimeout, m); err != nil {
+				s.events.belief(false, "silence not told", "of", ip, "to", to, "error", err.Error())
+			}
+		}()
+	}
+}
+
+// published says whether a machine is published, or lately was.
+func (s *spreader) published(ip string) bool {
+	return slices.ContainsFunc(s.fleet.Hosts(), func(h fleet.Host) bool { return h.IP() == ip })
+}
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -42,6 +42,7 @@
 	placer    *upstream.Placer[upstream.ByDelay]
 	admission *admission
 	peers     *peers
+	reach     *reach
 	sends     *caller.Sends
 	share     func() float64
 }
@@ -127,6 +128,9 @@
 		r = s.remote(ctx, w, i.Address().Host(), i.ID(), choosy)
 	}
 	s.placer.End(time.Now(), i.ID(), w.parcel(), endingOf(r), r.room)
+	if r.unreached {
+		go s.reach.lost(i.Address().Host())
+	}
 	if r.answered() {
 		s.placer.Learn(w.parcel(), len(r.body))
 	}
@@ -139,6 +143,8 @@
 // endingOf says what a result tells of the instance.
 func endingOf(r *result) upstream.Ending {
 	switch {
+	case r.unreached:
+		return upstream.Unreached
 	case r.outcome == caller.Ran && r.status < http.StatusInternalServerError:
 		return upstream.Good
 	case r.outcome == caller.Ran:
@@ -164,18 +170,17 @@
 	}
 	req := http1.NewRequest(w.method, w.target, w.host, h)
 	req.SetBody(w.body.start, w.body.rest, w.body.length)
-	if !w.body.whole() || len(w.body.start) > smallBody {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	probe := time.AfterFunc(silentAfter, func() { s.probe(ctx, ip, cancel) })
+	defer probe.Stop()
+	if !w.body.whole() || len(w.body.start) > smallBody || w.once {
 		req.SetAwait()
 	}
 	if w.once {
 		req.SetFresh()
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if !w.once {
-		// What may run at most once cannot go elsewhere, whoever is silent.
-		probe := time.AfterFunc(silentAfter, func() { s.probe(ctx, ip, cancel) })
-		defer probe.Stop()
+		// From then on it cannot go elsewhere, whoever is silent.
+		req.SetCommit(func() { probe.Stop() })
 	}
 	resp, err := s.peers.client(ip).Do(ctx, req)
 	if err != nil {
@@ -206,11 +211,11 @@
 
 // lost is the result where the daemon beside an instance did not answer.
 func lost(ctx context.Context, err error) *result {
-	r := &result{outcome: caller.Unknown, reason: caller.LostAnswer}
+	r := &result{outcome: caller.Unknown, reason: caller.LostAnswer, unreached: true}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
-		r.reason = ended(ctx)
+		r.reason, r.unreached = ended(ctx), false
 	}
-	if errors.Is(err, http1.ErrNotSent) {
+	if errors.Is(err, http1.ErrNotSent) || errors.Is(err, http1.ErrHeldBack) {
 		r.outcome = caller.NotRun
 		if r.reason == caller.LostAnswer {
 			r.reason = caller.NoBackend
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -32,6 +32,7 @@
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/pkg/replica"
 	"github.com/lycheehead/lycheehead/pkg/table"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
 // TestSpread runs scripts of changes and faults against fleets of daemons under
@@ -420,6 +421,11 @@
 	return out, ctx.Err()
 }
 
+func (node *testNode) ping(ctx context.Context, ip string) error {
+	_, err := node.exchange(ctx, ip, pingTimeout, &schema.Exchange{})
+	return err
+}
+
 type delivery uint8
 
 const (
@@ -480,6 +486,10 @@
 		leaving: newLeaving(), stopping: f.leaving.Load,
 	}
 	s.limits = node.limits
+	s.reach = &reach{
+		ctx: ctx, placer: upstream.NewPlacer(upstream.ByDelay{}, node.name, node.centre), events: k.events,
+		ping: node.ping, known: s.published, tell: s.unreached,
+	}
 	s.seeds.Store(&[]string{})
 	f.lost = s.compareCentre
 	k.changed = func(time.Time) {
--- a/internal/sidecar/spreader.go
+++ b/internal/sidecar/spreader.go
@@ -42,6 +42,7 @@
 	centre     string
 	seeds      atomic.Pointer[[]string]
 	limits     *limits
+	reach      *reach
 	quarantine *backend.Quarantine
 	ctx        context.Context //nolint:containedctx // the daemon's own, for work in the background
 	// told is what each daemon was told.
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -40,6 +41,32 @@
 	start  []byte
 	rest   io.Reader
 	length int64
+	// bound, where it is set, bounds until when rest can be read; the zero time
+	// lifts the bound.
+	bound func(until time.Time) error
+}
+
+// fetch reads the rest of a body that is not too large to be kept. Who sends it
+// may have gone, and half a body is of no use to a backend server.
+func (b *body) fetch(now time.Time) error {
+	if b.whole() || b.length < 0 || b.length > keepMost {
+		return nil
+	}
+	if b.bound != nil {
+		if err := b.bound(now.Add(bodyWait)); err != nil {
+			return err
+		}
+	}
+	data := make([]byte, b.length)
+	n := copy(data, b.start)
+	if _, err := io.ReadFull(b.rest, data[n:]); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	b.start, b.rest = data, nil
+	if b.bound != nil {
+		return b.bound(time.Time{})
+	}
+	return nil
 }
 
 // whole says whether the body can be sent more than once.
@@ -49,13 +76,15 @@
 type result struct {
 	outcome caller.Outcome
 	reason  caller.Reason
-	// offered says that the request was sent to the backend server.
-	offered bool
-	status  int
-	header  http.Header
-	body    []byte
-	room    upstream.Room
-	again   time.Duration
+	// offered says that the request was sent to the backend server, and unreached
+	// that the daemon beside it did not answer.
+	offered, unreached bool
+
+	status int
+	header http.Header
+	body   []byte
+	room   upstream.Room
+	again  time.Duration
 	// instance is the instance that the daemon beside it knows.
 	instance string
 }
--- a/pkg/backend/pace.go
+++ b/pkg/backend/pace.go
@@ -1,34 +1,53 @@
 package backend
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// paceOver is the factor by which a cold backend server's stated rate is
-	// used; the bound that the fleet keeps leaves more.
-	paceOver = 1.2
-	// paceBurst is how many requests a cold backend server gets at once.
-	paceBurst = 4.0
+	// paceShare and burstShare are the parts that are used of what a fleet's bound
+	// allows beyond a cold backend server's stated rate: requests may arrive in
+	// another second than they were sent.
+	paceShare  = 0.8
+	burstShare = 0.7
+	// leastBurst is the least number of requests that may come at once.
+	leastBurst = 1.0
 )
 
 // Pace bounds the rate of requests to a backend server while it is cold. The
-// zero value bounds nothing.
+// zero value allows the stated rate and no more.
 type Pace struct {
-	rate   float64
-	until  time.Time
-	tokens float64
-	last   time.Time
+	// over is the factor by which the rate may be exceeded, and burst how many
+	// requests may come at once.
+	over, burst float64
+	rate        float64
+	until       time.Time
+	tokens      float64
+	last        time.Time
+}
+
+// NewPace returns a pace for a fleet's bound: in one second a cold backend server
+// gets at most its stated rate times over, and slack more.
+func NewPace(over, slack float64) Pace {
+	return Pace{over: math.Max(0, over-1) * paceShare, burst: math.Max(leastBurst, slack*burstShare)}
 }
 
 // Chill makes the backend server count as cold until an instant, at a rate in
 // requests per second. A rate of zero bounds nothing.
 func (p *Pace) Chill(now, until time.Time, rate float64) {
 	if !p.Cold(now) {
-		p.tokens, p.last = paceBurst, now
+		p.tokens, p.last = p.most(), now
 	}
 	p.rate = rate
 	p.until = until
 }
 
+func (p *Pace) most() float64 { return math.Max(leastBurst, p.burst) }
+
+// gain is the requests per second that are let through.
+func (p *Pace) gain() float64 { return p.rate * (1 + p.over) }
+
 // Cold says whether the rate is bounded.
 func (p *Pace) Cold(now time.Time) bool { return p.rate > 0 && now.Before(p.until) }
 
@@ -37,10 +56,10 @@
 	if !p.Cold(now) {
 		return 0, true
 	}
-	p.tokens = min(paceBurst, p.tokens+now.Sub(p.last).Seconds()*p.rate*paceOver)
+	p.tokens = min(p.most(), p.tokens+now.Sub(p.last).Seconds()*p.gain())
 	p.last = now
 	if p.tokens < 1 {
-		wait := time.Duration((1 - p.tokens) / (p.rate * paceOver) * float64(time.Second))
+		wait := time.Duration((1 - p.tokens) / p.gain() * float64(time.Second))
 		return min(wait, p.until.Sub(now)), false
 	}
 	p.tokens--
@@ -52,5 +71,5 @@
 	if !p.Cold(now) {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / (p.rate * paceOver))
+	return time.Duration(float64(time.Second) / p.gain())
 }
--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -53,9 +53,10 @@
 	closed bool
 }
 
-// NewQueue returns an empty queue with a window.
-func NewQueue[W Window](window W) *Queue[W] {
-	return &Queue[W]{mu: lock.New(lock.Gate), window: window, work: make(map[string]time.Duration)}
+// NewQueue returns an empty queue with a window, and the pace of a backend server
+// that is cold.
+func NewQueue[W Window](window W, pace Pace) *Queue[W] {
+	return &Queue[W]{mu: lock.New(lock.Gate), window: window, pace: pace, work: make(map[string]time.Duration)}
 }
 
 // Arrive takes in a request. choosy says that another backend server may take
--- a/pkg/upstream/placer.go
+++ b/pkg/upstream/placer.go
@@ -81,8 +81,11 @@
 	Full
 	// Shed: the backend server itself did not run the request.
 	Shed
-	// Absent: the backend server or the daemon beside it could not be reached.
+	// Absent: the daemon answered for a backend server that cannot be reached or
+	// is leaving.
 	Absent
+	// Unreached: the daemon beside the backend server did not answer.
+	Unreached
 	// Neutral: the caller gave up, which says nothing.
 	Neutral
 )
@@ -182,6 +185,8 @@
 	works      *table.Table[kindAt, time.Duration]
 	sizes      *table.Table[string, int]
 	failing    *table.Table[string, float64]
+	// unreached are the hosts whose daemons do not answer.
+	unreached *table.Table[string, bool]
 }
 
 // Parcel is what is placed: a request of a kind, with the bytes of its body and
@@ -207,6 +212,7 @@
 		works:      table.New[kindAt, time.Duration](lock.Routes),
 		sizes:      table.New[string, int](lock.Routes),
 		failing:    table.New[string, float64](lock.Routes),
+		unreached:  table.New[string, bool](lock.Routes),
 	}
 }
 
@@ -220,11 +226,11 @@
 
 // Place chooses among instances, without those tried before, and counts a
 // request in flight. End ends that request. An instance that is left alone is
-// taken only where there is no other.
+// taken only where there is no other, one that is unreached never.
 func (p *Placer[P]) Place(now time.Time, rnd Rand, r Parcel, instances []fleet.Instance, tried []string) (Option, bool) {
 	var free, avoided []Option
 	for _, i := range instances {
-		if slices.Contains(tried, i.ID()) {
+		if slices.Contains(tried, i.ID()) || p.lost(i.Address().Host()) {
 			continue
 		}
 		o, alone := p.option(now, r, i)
@@ -277,6 +283,26 @@
 	}, now.Before(k.avoid)
 }
 
+// Lost notes that the daemon on a host does not answer, and returns whether that
+// is news. Its backend server gets no request, and is not tried by one, until
+// Found.
+func (p *Placer[P]) Lost(host string) bool {
+	news := false
+	p.unreached.Update(host, func(_, known bool) (bool, bool) {
+		news = !known
+		return true, true
+	})
+	return news
+}
+
+// Found notes that the daemon on a host answers.
+func (p *Placer[P]) Found(host string) { p.unreached.Delete(host) }
+
+func (p *Placer[P]) lost(host string) bool {
+	lost, _ := p.unreached.Get(host)
+	return lost
+}
+
 // learnWeight is the weight of the newest answer in what is learned of a kind.
 const learnWeight = 0.1
 
@@ -333,6 +359,7 @@
 		k.failures = k.failuresAt(now)*(1-gradeWeight) + failed*gradeWeight
 		k.graded = now
 		k.lost = 0
+	case Unreached:
 	case Full:
 		k.avoid = now.Add(fullAvoid)
 		k.lost = 0
--- a/pkg/upstream/placer_test.go
+++ b/pkg/upstream/placer_test.go
@@ -34,6 +34,10 @@
 			case "instance":
 				at := address(f[3])
 				instances = append(instances, fleet.NewInstance(f[1], "doku", f[2], at, now).WithSlots(9))
+			case "lost":
+				p.Lost(f[1])
+			case "found":
+				p.Found(f[1])
 			case "after":
 				wait, err := time.ParseDuration(f[1])
 				if err != nil {
