--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,16 +16,9 @@
 )
 
 const (
-	// placesMost is how many daemons are asked for room for one request, and
-	// placesNested for one that a running request waits for.
-	placesMost   = 4
-	placesNested = 8
 	// silentAfter is how long a daemon may take over a request before it is
 	// asked whether it is there; typically longer than a run.
 	silentAfter = 150 * time.Millisecond
-	// againLeast is the least time that must be left to send a request once
-	// more.
-	againLeast = 20 * time.Millisecond
 	// againJitter is the part of a Retry-After by which it is lengthened at random.
 	againJitter = 0.5
 )
@@ -49,57 +41,55 @@
 
 // journey is what has become of one request so far.
 type journey struct {
-	tried   []string
-	offered int
-	// ran says that an instance may have run the request.
-	ran  bool
+	*upstream.Journey
 	last *result
 	// failure is an instance's own answer that was a failure.
 	failure *result
-	// again is the least time after which a daemon that refused expects room,
-	// and room the instance.
-	again time.Duration
-	room  string
 }
 
 // send runs work and returns what its caller is answered.
 func (s *sender) send(ctx context.Context, w *work, attempts int) *final {
 	s.sends.First(time.Now(), w.service)
-	j := &journey{}
-	most := placesMost
-	if nested, _, _ := w.rank.Parts(); nested {
-		most = placesNested
-	}
-	for len(j.tried) < most && s.mayGoOn(ctx, w, j, attempts) {
-		o, more, ok := s.place(ctx, w, j.tried)
+	nested, _, _ := w.rank.Parts()
+	j := &journey{Journey: upstream.NewJourney(attempts, w.once, nested, w.body.whole())}
+	for s.mayGoOn(ctx, w, j) {
+		o, more, ok := s.place(ctx, w, j.Tried())
 		if !ok {
 			break
 		}
-		j.note(o.Instance().ID(), s.try(ctx, w, o, more && len(j.tried)+1 < most))
-		if j.settled(w) {
-			break
-		}
-	}
-	if s.lastResort(ctx, w, j, attempts) {
-		s.sendLast(ctx, w, j)
+		j.note(o.Instance().ID(), s.try(ctx, w, o, j.Choosy(more)))
 	}
+	s.sendLast(ctx, w, j)
 	return j.final(ctx)
 }
 
 // mayGoOn says whether work may be sent to an instance (once more).
-func (s *sender) mayGoOn(ctx context.Context, w *work, j *journey, attempts int) bool {
-	now := time.Now()
-	switch {
-	case ctx.Err() != nil:
-		return false
-	case j.offered == 0:
-		return true
-	case j.offered >= attempts, j.ran && w.once, !w.body.whole(), w.deadline.Sub(now) < againLeast:
-		return false
-	case j.failure != nil && s.placer.Failing(w.parcel()):
+func (s *sender) mayGoOn(ctx context.Context, w *work, j *journey) bool {
+	more, resend := j.More(time.Now(), w.deadline)
+	return more && ctx.Err() == nil && (!resend || s.mayResend(w, j))
+}
+
+// mayResend says whether work may be sent to a second backend server.
+func (s *sender) mayResend(w *work, j *journey) bool {
+	if j.failure != nil && s.placer.Failing(w.parcel()) {
 		return false
 	}
-	return s.sends.Again(now, w.service, s.share())
+	return s.sends.Again(time.Now(), w.service, s.share())
+}
+
+// sendLast lets work wait that nobody took at once, at the instance that expects
+// room first.
+func (s *sender) sendLast(ctx context.Context, w *work, j *journey) {
+	id, resend := j.Last(time.Now(), w.deadline)
+	if id == "" || ctx.Err() != nil || resend && !s.mayResend(w, j) {
+		return
+	}
+	i, usable, ok := s.fleet.Get(time.Now(), id)
+	if !ok || !usable {
+		return
+	}
+	o := s.placer.Take(time.Now(), w.parcel(), i)
+	j.note(i.ID(), s.try(ctx, w, o, false))
 }
 
 // place chooses an instance. more says that there are others left.
@@ -142,23 +132,10 @@
 
 // endingOf says what a result tells of the instance.
 func endingOf(r *result) upstream.Ending {
-	switch {
-	case r.unreached:
+	if r.unreached {
 		return upstream.Unreached
-	case r.outcome == caller.Ran && r.status < http.StatusInternalServerError:
-		return upstream.Good
-	case r.outcome == caller.Ran:
-		return upstream.Failing
-	case r.reason == caller.Deadline, r.reason == caller.Cancelled, r.reason == caller.Quarantined, r.reason == caller.BadRequest:
-		return upstream.Neutral
-	case r.outcome == caller.NotRun && r.offered:
-		return upstream.Shed
-	case r.reason == caller.Overload:
-		return upstream.Full
-	case r.reason == caller.LostAnswer && r.offered:
-		return upstream.Failing
 	}
-	return upstream.Absent
+	return r.trial().Ending()
 }
 
 // remote sends work to the daemon on another machine.
@@ -225,63 +202,20 @@
 }
 
 func (j *journey) note(instance string, r *result) {
-	j.tried = append(j.tried, instance)
+	j.Note(instance, r.trial())
 	j.last = r
-	if r.offered || r.outcome == caller.Unknown {
-		j.offered++
-	}
-	if r.outcome != caller.NotRun {
-		j.ran = true
-	}
 	if r.outcome == caller.Ran {
 		j.failure = r
 	}
-	if r.reason == caller.Overload && !r.offered && (j.room == "" || r.again < j.again) {
-		j.again, j.room = r.again, instance
-	}
 	if r.instance == "" {
 		r.instance = instance
 	}
 }
 
-// settled says whether the last result is what the caller gets.
-func (j *journey) settled(w *work) bool {
-	r := j.last
-	switch r.outcome {
-	case caller.Ran:
-		return w.once || r.status < http.StatusInternalServerError
-	case caller.Unknown:
-		return w.once || r.reason != caller.LostAnswer
-	}
-	switch r.reason {
-	case caller.Deadline, caller.Cancelled, caller.Quarantined, caller.BadRequest:
-		return true
-	}
-	return false
-}
-
-// lastResort says whether work that nobody took at once may wait at the
-// instance that expects room first.
-func (s *sender) lastResort(ctx context.Context, w *work, j *journey, attempts int) bool {
-	if j.room == "" || j.last.outcome != caller.NotRun || j.settled(w) || !s.mayGoOn(ctx, w, j, attempts) {
-		return false
-	}
-	return time.Now().Add(j.again).Before(w.deadline)
-}
-
-func (s *sender) sendLast(ctx context.Context, w *work, j *journey) {
-	i, usable, ok := s.fleet.Get(time.Now(), j.room)
-	if !ok || !usable {
-		return
-	}
-	o := s.placer.Take(time.Now(), w.parcel(), i)
-	j.note(i.ID(), s.try(ctx, w, o, false))
-}
-
 // final returns what the caller is answered.
 func (j *journey) final(ctx context.Context) *final {
 	f := j.answer(ctx)
-	f.tries = len(j.tried)
+	f.tries = len(j.Tried())
 	if j.last != nil {
 		f.instance = j.last.instance
 	}
@@ -299,12 +233,12 @@
 		return &final{result: r}
 	case j.failure != nil:
 		return &final{result: j.failure}
-	case j.ran:
+	case j.Ran():
 		return uncertain(r.reason)
 	case r.reason == caller.Quarantined:
 		return refused(r.reason, 0)
 	}
-	return refused(r.reason, jitter(max(j.again, againFirst)))
+	return refused(r.reason, jitter(max(j.Again(), againFirst)))
 }
 
 // jitter spreads callers that are told the same time.
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -96,6 +96,12 @@
 // answered says whether a backend server answered.
 func (r *result) answered() bool { return r.outcome == caller.Ran }
 
+// trial returns the result as the end of a try.
+func (r *result) trial() upstream.Try {
+	failed := r.outcome == caller.Ran && r.status >= http.StatusInternalServerError
+	return upstream.NewTry(r.outcome, r.reason, r.offered, failed, r.again)
+}
+
 func encodeRoom(m *schema.HopReport, r upstream.Room) {
 	m.SetRunning(uint32(r.Running()))
 	m.SetWaiting(uint32(r.Waiting()))
--- /dev/null
+++ b/pkg/upstream/journey.go
@@ -0,0 +1,172 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/caller"
+)
+
+const (
+	// placesMost is how many daemons are asked for room for one request, and
+	// placesNested for one that a running request waits for.
+	placesMost   = 4
+	placesNested = 8
+	// againLeast is the least time that must be left to send a request once
+	// more.
+	againLeast = 20 * time.Millisecond
+)
+
+// Try is what became of a request at one instance.
+type Try struct {
+	outcome caller.Outcome
+	reason  caller.Reason
+	offered bool
+	failed  bool
+	again   time.Duration
+}
+
+// NewTry returns the end of a try. offered says that the backend server got the
+// request, failed that it ran it and failed, and again when it expects room.
+func NewTry(o caller.Outcome, r caller.Reason, offered, failed bool, again time.Duration) Try {
+	return Try{outcome: o, reason: r, offered: offered, failed: failed, again: again}
+}
+
+// Journey decides where else a request may be tried. It belongs to one request.
+type Journey struct {
+	once     bool
+	whole    bool
+	most     int
+	attempts int
+	tried    []string
+	offered  int
+	// ran says that an instance may have run the request, and failed that one has
+	// and answered with a failure.
+	ran, failed bool
+	last        Try
+	// again is the least time after which a daemon that refused expects room,
+	// and room its instance.
+	again time.Duration
+	room  string
+}
+
+// NewJourney returns the journey of a request that may be sent to a number of
+// backend servers. once says that it runs at most once, nested that a running
+// request waits for it, and whole that its body can be sent more than once.
+func NewJourney(attempts int, once, nested, whole bool) *Journey {
+	j := &Journey{once: once, whole: whole, most: placesMost, attempts: attempts}
+	if nested {
+		j.most = placesNested
+	}
+	return j
+}
+
+// Tried returns the instances that were tried. The slice is not to be changed.
+func (j *Journey) Tried() []string { return j.tried }
+
+// Again returns when a daemon that refused expects room, zero where none did.
+func (j *Journey) Again() time.Duration { return j.again }
+
+// Ran says whether an instance may have run the request.
+func (j *Journey) Ran() bool { return j.ran }
+
+// More says whether the request may be placed at a further instance. resend says
+// that this would be a second send, which the budget of sends has to allow.
+func (j *Journey) More(now, deadline time.Time) (more, resend bool) {
+	if len(j.tried) >= j.most {
+		return false, false
+	}
+	return j.allowed(now, deadline)
+}
+
+func (j *Journey) allowed(now, deadline time.Time) (allowed, resend bool) {
+	switch {
+	case j.settled():
+		return false, false
+	case j.offered == 0:
+		return true, false
+	case j.offered >= j.attempts, j.ran && j.once, !j.whole, deadline.Sub(now) < againLeast:
+		return false, false
+	}
+	return true, true
+}
+
+// Choosy says whether an instance may refuse the request for having to wait,
+// since there are others.
+func (j *Journey) Choosy(others bool) bool { return others && len(j.tried)+1 < j.most }
+
+// Last returns the instance at which a request may wait that nobody took at once,
+// or nothing.
+func (j *Journey) Last(now, deadline time.Time) (instance string, resend bool) {
+	if j.room == "" || j.last.outcome != caller.NotRun || !now.Add(j.again).Before(deadline) {
+		return "", false
+	}
+	allowed, resend := j.allowed(now, deadline)
+	if !allowed {
+		return "", false
+	}
+	return j.room, resend
+}
+
+// Note takes in the end of a try.
+func (j *Journey) Note(instance string, t Try) {
+	if !slices.Contains(j.tried, instance) {
+		j.tried = append(j.tried, instance)
+	}
+	j.last = t
+	if t.offered || t.outcome == caller.Unknown {
+		j.offered++
+	}
+	if t.outcome != caller.NotRun {
+		j.ran = true
+	}
+	if t.failed {
+		j.failed = true
+	}
+	if t.reason == caller.Overload && !t.offered && (j.room == "" || t.again < j.again) {
+		j.again, j.room = t.again, instance
+	}
+}
+
+// Failed says whether an instance ran the request and answered with a failure.
+func (j *Journey) Failed() bool { return j.failed }
+
+// settled says whether the last try's end is what the caller gets.
+func (j *Journey) settled() bool {
+	if len(j.tried) == 0 {
+		return false
+	}
+	switch j.last.outcome {
+	case caller.Ran:
+		return j.once || !j.last.failed
+	case caller.Unknown:
+		return j.once || j.last.reason != caller.LostAnswer
+	}
+	switch j.last.reason {
+	case caller.Deadline, caller.Cancelled, caller.Quarantined, caller.BadRequest:
+		return true
+	}
+	return false
+}
+
+// Outcome returns what became of the request.
+func (t Try) Outcome() caller.Outcome { return t.outcome }
+
+// Ending says what a try tells of its instance.
+func (t Try) Ending() Ending {
+	switch {
+	case t.outcome == caller.Ran && t.failed:
+		return Failing
+	case t.outcome == caller.Ran:
+		return Good
+	case t.reason == caller.Deadline, t.reason == caller.Cancelled, t.reason == caller.Quarantined, t.reason == caller.BadRequest:
+		return Neutral
+	case t.outcome == caller.NotRun && t.offered:
+		return Shed
+	case t.reason == caller.Overload:
+		return Full
+	case t.reason == caller.LostAnswer && t.offered:
+		return Failing
+	}
+	return Absent
+}
