--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
@@ -85,23 +86,15 @@
 	return upstream.NewTry(caller.NotRun, reason, false, false, again)
 }
 
-// sweep looks at what waited and no longer does.
+// sweep goes on with what waited and no longer does.
 func (d *daemon) sweep() {
-	for again := true; again; {
-		again = false
-		for i, s := range d.waiting {
-			state, wait := d.queue.State(s.claim)
-			if state == backend.Waiting {
-				continue
-			}
-			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
-			if state == backend.Running {
+	for moved := d.takeMoved(); len(moved) > 0; moved = d.takeMoved() {
+		for _, s := range moved {
+			if state, wait := d.queue.State(s.claim); state == backend.Running {
 				s.run()
 			} else if !s.gone {
 				s.reply(refusal(state, wait))
 			}
-			again = true
-			break
 		}
 	}
 	if d.ticking || len(d.waiting) == 0 || !d.queue.Cold(d.world.now) {
@@ -116,6 +109,21 @@
 	}
 }
 
+// takeMoved takes out what no longer waits, in the order of its arrival.
+func (d *daemon) takeMoved() []*stay {
+	var moved []*stay
+	d.waiting = slices.DeleteFunc(d.waiting, func(s *stay) bool {
+		select {
+		case <-s.claim.Moved():
+			moved = append(moved, s)
+			return true
+		default:
+			return false
+		}
+	})
+	return moved
+}
+
 // expire ends a wait at the request's deadline.
 func (s *stay) expire() {
 	if state, _ := s.at.queue.State(s.claim); state != backend.Waiting {
