Add lycheehead emulate, which plays a plan with a number of seeds

Policies of placement and admission were compared by tests of the emulator alone. The command plays a plan, or a fleet and changes to it, with several seeds and prints what became of each class and the mean worth.

--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -27,6 +27,7 @@
 	Mesh    meshCommand    `cmd:"" help:"Make the certificates by which daemons know each other."`
 	Status  statusCommand  `cmd:"" help:"Ask a daemon what it holds and why."`
 	Load    loadCommand    `cmd:"" help:"Drive requests as callers do and check both ends."`
+	Emulate emulateCommand `cmd:"" help:"Play a plan of load and troubles against the daemons' decisions in simulated time."`
 }
 
 func main() {
