Put off what can no longer keep its objective, and have fewer daemons turn one request away

Cause: with more work than the backend servers bear, a queue in the order of objectives runs what is nearest to being late first, so that all of it ends late. Seen in the emulator with a daemon that handles messages in 0.1 ms, so that processor time plays no part: three times the callers, 20 in 100 of doc-read in time, 50 late. Ruled out there: processor time, and the bound on the wait alone (what waits turns late by the runs before it that take longer than the mean).

Now a claim that cannot keep its objective any more goes behind those that can, and is refused with a Retry-After where it would wait there for more than a share of its time. Only turning away counts against the number of daemons that are asked for one request, which is 2 now: a backend server that fails or sheds leaves the request its other tries.

--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -46,6 +46,9 @@
 	window  W
 	pace    Pace
 	waiting []*Claim
+	// late are those that waited until they could no longer keep their objective.
+	// They run when nothing else waits.
+	late    []*Claim
 	running int
 	// mean is the time of a run over all classes, work by class.
 	mean   time.Duration
@@ -74,6 +77,7 @@
 		c.move(Expired)
 		return c, c.state, 0
 	}
+	q.overdue(now)
 	at, _ := slices.BinarySearchFunc(q.waiting, c, before)
 	if wait := q.starts(now, at).Sub(now); wait > q.waitBound(now, d, choosy) {
 		c.again = wait
@@ -144,12 +148,33 @@
 
 // prune refuses waiting claims that are not expected to be answered in time.
 func (q *Queue[W]) prune(now time.Time) {
+	q.waiting = q.answerable(now, q.waiting, 0, 1)
+	q.late = q.answerable(now, q.late, len(q.waiting), lateShare)
+}
+
+// answerable refuses those of a list of claims that are not expected to begin within
+// a share of their time if a number of others go first, and returns the rest.
+func (q *Queue[W]) answerable(now time.Time, claims []*Claim, first int, share float64) []*Claim {
+	return slices.DeleteFunc(claims, func(c *Claim) bool {
+		start := q.starts(now, first)
+		left := c.demand.deadline.Add(-q.least(c.demand)).Sub(now)
+		if wait := start.Sub(now); wait > time.Duration(float64(left)*share) {
+			c.again = wait
+			c.move(Crowded)
+			return true
+		}
+		first++
+		return false
+	})
+}
+
+// overdue puts off what can no longer keep its objective: it would make what waits
+// behind it late as well.
+func (q *Queue[W]) overdue(now time.Time) {
 	kept := q.waiting[:0]
 	for _, c := range q.waiting {
-		start := q.starts(now, len(kept))
-		if start.Add(q.least(c.demand)).After(c.demand.deadline) {
-			c.again = start.Sub(now)
-			c.move(Crowded)
+		if !c.demand.rank.nested && now.Add(q.work[c.demand.class]).After(c.demand.objective) {
+			q.late = append(q.late, c)
 			continue
 		}
 		kept = append(kept, c)
@@ -160,7 +185,11 @@
 
 // next lets claims run while there is room.
 func (q *Queue[W]) next(now time.Time) {
-	for len(q.waiting) > 0 && q.running < q.window.Size() {
+	q.overdue(now)
+	for len(q.waiting)+len(q.late) > 0 && q.running < q.window.Size() {
+		if len(q.waiting) == 0 {
+			q.waiting, q.late = append(q.waiting, q.late[0]), q.late[1:]
+		}
 		c := q.waiting[0]
 		if !now.Add(q.least(c.demand)).Before(c.demand.deadline) {
 			q.shift()
@@ -232,9 +261,9 @@
 	case Running:
 		return false
 	case Waiting:
-		if i := slices.Index(q.waiting, c); i >= 0 {
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-		}
+		is := func(other *Claim) bool { return other == c }
+		q.waiting = slices.DeleteFunc(q.waiting, is)
+		q.late = slices.DeleteFunc(q.late, is)
 		c.move(Gone)
 	}
 	return true
@@ -247,7 +276,7 @@
 	defer q.mu.Unlock()
 	q.next(now)
 	q.prune(now)
-	if len(q.waiting) == 0 || q.running >= q.window.Size() {
+	if len(q.waiting)+len(q.late) == 0 || q.running >= q.window.Size() {
 		return 0
 	}
 	return max(q.pace.Interval(now), time.Millisecond)
@@ -285,10 +314,10 @@
 	if !closed {
 		return
 	}
-	for _, c := range q.waiting {
+	for _, c := range slices.Concat(q.waiting, q.late) {
 		c.move(Closed)
 	}
-	q.waiting = nil
+	q.waiting, q.late = nil, nil
 }
 
 // Load returns how many requests run and wait, how many may run at once, and
@@ -296,7 +325,7 @@
 func (q *Queue[W]) Load() (running, waiting, limit int, mean time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.running, len(q.waiting), q.window.Size(), q.mean
+	return q.running, len(q.waiting) + len(q.late), q.window.Size(), q.mean
 }
 
 // Work returns the mean time of a run of a class, or zero where there was none.
--- a/pkg/upstream/journey.go
+++ b/pkg/upstream/journey.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// placesMost is how many daemons are asked for room for one request, and
-	// placesNested for one that a running request waits for.
-	placesMost   = 4
+	// placesMost is how many daemons may turn one request away, the last of them
+	// after a wait, and placesNested for one that a running request waits for: under
+	// load each costs both daemons the time to handle it.
+	placesMost   = 2
 	placesNested = 8
 	// againLeast is the least time that must be left to send a request once
 	// more.
@@ -73,7 +74,7 @@
 // More says whether the request may be placed at a further instance. resend says
 // that this would be a second send, which the budget of sends has to allow.
 func (j *Journey) More(now, deadline time.Time) (more, resend bool) {
-	if len(j.tried) >= j.most {
+	if j.turned() >= j.most {
 		return false, false
 	}
 	return j.allowed(now, deadline)
@@ -93,7 +94,11 @@
 
 // Choosy says whether an instance may refuse the request for having to wait,
 // since there are others.
-func (j *Journey) Choosy(others bool) bool { return others && len(j.tried)+1 < j.most }
+func (j *Journey) Choosy(others bool) bool { return others && j.turned()+1 < j.most }
+
+// turned returns how many instances turned the request away without its backend
+// server having got it.
+func (j *Journey) turned() int { return len(j.tried) - j.offered }
 
 // Last returns the instance at which a request may wait that nobody took at once,
 // or nothing.
