Give each class of log lines an allowance of its own, and log how long work waited

Cause: changes of belief shared an allowance with either successes or refusals. From the lines that were left it could not be told whether late work had waited in a queue or elsewhere.

Successes, tries, refusals and beliefs have 150, 150, 300 and 300 lines a second now. The line admission says how long the work waited and took. The test of the bound logs ten times the refusals beside the beliefs; with two classes it loses beliefs.

--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -18,21 +18,40 @@
 	chunkMost = 4 << 10
 	// flushEvery is the time between two writes.
 	flushEvery = 250 * time.Millisecond
-	// ordinaryRate and importantRate are in lines per second.
-	ordinaryRate  = 150
-	importantRate = 300
+	// The rates of the classes, in lines per second.
+	successRate = 150
+	attemptRate = 150
+	refusalRate = 300
+	beliefRate  = 300
+)
+
+// Class says what a line tells. Each class has an allowance of its own, so that
+// the many lines of one never take the place of those of another.
+type Class uint8
+
+// The classes.
+const (
+	// Success: a decision on a request that went well.
+	Success Class = iota
+	// Attempt: a try of a request that was refused or failed, and is made again or
+	// followed by a refusal.
+	Attempt
+	// Refusal: a caller that was refused, or told of a failure.
+	Refusal
+	// Belief: a change of what the process believes, a start or a stop.
+	Belief
+	classes
 )
 
 // Writer is a bounded log output. Make one with NewWriter.
 type Writer struct {
 	out io.Writer
 	// mu, of rank lock.Logs, guards what follows.
-	mu        *lock.Mutex
-	buffer    []byte
-	spare     []byte
-	ordinary  allowance
-	important allowance
-	dropped   int
+	mu      *lock.Mutex
+	buffer  []byte
+	spare   []byte
+	allowed [classes]allowance
+	dropped int
 	// total counts all lines that were dropped.
 	total atomic.Int64
 	done  chan struct{}
@@ -59,27 +78,24 @@
 func NewWriter(out io.Writer) *Writer {
 	now := time.Now()
 	w := &Writer{
-		out:       out,
-		mu:        lock.New(lock.Logs),
-		ordinary:  allowance{rate: ordinaryRate, left: ordinaryRate, last: now},
-		important: allowance{rate: importantRate, left: importantRate, last: now},
-		done:      make(chan struct{}),
-		ended:     make(chan struct{}),
+		out:   out,
+		mu:    lock.New(lock.Logs),
+		done:  make(chan struct{}),
+		ended: make(chan struct{}),
+	}
+	for class, rate := range [classes]float64{Success: successRate, Attempt: attemptRate, Refusal: refusalRate, Belief: beliefRate} {
+		w.allowed[class] = allowance{rate: rate, left: rate, last: now}
 	}
 	go w.run()
 	return w
 }
 
-// Allow says whether a line may be logged now, and counts it as dropped if not.
-// It is asked before a line is built, which costs more than the answer.
-func (w *Writer) Allow(important bool) bool {
+// Allow says whether a line of a class may be logged now, and counts it as dropped
+// if not. It is asked before a line is built, which costs more than the answer.
+func (w *Writer) Allow(c Class) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	a := &w.ordinary
-	if important {
-		a = &w.important
-	}
-	if a.take(time.Now()) {
+	if w.allowed[c].take(time.Now()) {
 		return true
 	}
 	w.drop()
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -28,26 +28,33 @@
 }
 
 // TestBound logs ten times what is let through, for ten seconds, and counts the
-// lines. Important ones have a rate of their own.
+// lines. Each class has a rate of its own: neither successes nor refusals take
+// the place of beliefs.
 func TestBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &sink{}
 		w := logs.NewWriter(out)
 		for range 1000 {
 			for range 20 {
-				if w.Allow(false) {
+				if w.Allow(logs.Success) {
 					_, _ = io.WriteString(w, "ordinary\n")
 				}
 			}
-			if w.Allow(true) {
+			for range 30 {
+				if w.Allow(logs.Refusal) {
+					_, _ = io.WriteString(w, "refused\n")
+				}
+			}
+			if w.Allow(logs.Belief) {
 				_, _ = io.WriteString(w, "important\n")
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
 		w.Close()
-		ordinary, important := strings.Count(out.text.String(), "ordinary"), strings.Count(out.text.String(), "important")
-		if ordinary > 11*150 || important != 1000 || w.Dropped() != int64(20_000-ordinary) {
-			t.Fatalf("%d ordinary lines, %d important ones, %d dropped", ordinary, important, w.Dropped())
+		count := func(line string) int { return strings.Count(out.text.String(), line) }
+		ordinary, refused, important := count("ordinary"), count("refused"), count("important")
+		if ordinary > 11*150 || refused > 11*300 || important != 1000 || w.Dropped() != int64(20_000+30_000-ordinary-refused) {
+			t.Fatalf("%d ordinary lines, %d refusals, %d important ones, %d dropped", ordinary, refused, important, w.Dropped())
 		}
 		if !strings.Contains(out.text.String(), "log lines dropped") {
 			t.Fatal("nothing tells of dropped lines")
@@ -82,7 +89,7 @@
 
 func ExampleWriter() {
 	w := logs.NewWriter(os.Stdout)
-	if w.Allow(true) {
+	if w.Allow(logs.Belief) {
 		_, _ = fmt.Fprintln(w, `{"@message":"start"}`)
 	}
 	w.Close()
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
@@ -62,12 +63,14 @@
 
 // serve runs work at the backend server or refuses it.
 func (a *admission) serve(ctx context.Context, w *work, instance string, choosy bool) *result {
+	begin := time.Now()
 	r := a.admitAndRun(ctx, w, instance, choosy)
 	running, waiting, limit, mean := a.queue.Load()
 	r.room = upstream.NewRoom(running, waiting, limit, a.queue.Work(w.route), mean)
-	a.events.request(r.outcome != caller.Ran, "admission", w.id, "route", w.route, "customer", w.customer,
+	a.events.request(classOf(r.outcome, logs.Attempt), "admission", w.id, "route", w.route, "customer", w.customer,
 		"outcome", r.outcome.String(), "reason", string(r.reason), "status", r.status, "instance", r.instance,
-		"running", running, "waiting", waiting, "limit", limit, "version", w.version)
+		"waited", r.waited.String(), "took", time.Since(begin).String(), "running", running, "waiting", waiting,
+		"limit", limit, "version", w.version)
 	return r
 }
 
@@ -82,11 +85,15 @@
 		r.again, r.instance = ad.again, ad.instance
 		return r
 	}
-	if r := a.wait(ctx, ad); r != nil {
+	r := a.wait(ctx, ad)
+	waited := time.Since(now)
+	if r == nil {
+		r = a.run(ctx, w, ad)
+	} else {
 		r.instance = ad.instance
-		return r
 	}
-	return a.run(ctx, w, ad)
+	r.waited = waited
+	return r
 }
 
 // admit decides on work as it arrives.
@@ -185,7 +192,7 @@
 func (a *admission) run(ctx context.Context, w *work, ad admitted) *result {
 	if err := w.body.fetch(time.Now()); err != nil {
 		a.queue.Done(time.Now(), ad.claim, backend.Ended)
-		a.events.request(true, "body not read", w.id, "error", err.Error())
+		a.events.request(logs.Refusal, "body not read", w.id, "error", err.Error())
 		return unrun(caller.Cancelled)
 	}
 	now := time.Now()
@@ -238,7 +245,7 @@
 		a.queue.Done(now, claim, backend.Shed)
 		r := unrun(caller.Overload)
 		if v.moved {
-			a.events.belief(true, "another instance answers", "expected", id, "found", v.instance)
+			a.events.belief("another instance answers", "expected", id, "found", v.instance)
 			r.reason = caller.NoBackend
 		}
 		r.offered = true
@@ -267,7 +274,7 @@
 		return &result{outcome: caller.Unknown, reason: caller.BadRequest, offered: true}
 	}
 	a.queue.Done(now, claim, backend.Broken)
-	a.events.request(true, "answer lost", w.id, "error", err.Error())
+	a.events.request(logs.Refusal, "answer lost", w.id, "error", err.Error())
 	if !a.client.Alive() {
 		go a.inspect(w)
 	}
--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/operator"
@@ -72,7 +73,7 @@
 	if restarted {
 		cold = max(cold, a.warmup())
 		a.client.Drop()
-		a.events.belief(true, "backend server restarted", "instance", i.ID(), "cold", cold.String())
+		a.events.belief("backend server restarted", "instance", i.ID(), "cold", cold.String())
 	}
 	if chilled && cold > 0 {
 		a.chill(now, now.Add(cold))
@@ -97,7 +98,7 @@
 	if s.WarmupRate() <= 0 {
 		return
 	}
-	a.events.belief(false, "backend server cold", "for", until.Sub(now).String(), "rate", s.WarmupRate())
+	a.events.belief("backend server cold", "for", until.Sub(now).String(), "rate", s.WarmupRate())
 	a.queue.Chill(now, until, s.WarmupRate())
 }
 
@@ -112,7 +113,7 @@
 	a.unreachable(now, err)
 	s := suspect(w)
 	a.quarantine.Died(now, s)
-	a.events.request(true, "backend server died", w.id, "customer", s.Customer(), "fingerprint", s.Fingerprint())
+	a.events.request(logs.Refusal, "backend server died", w.id, "customer", s.Customer(), "fingerprint", s.Fingerprint())
 	a.crashed(s)
 }
 
@@ -126,7 +127,7 @@
 	if first {
 		a.client.Drop()
 		a.chill(now, now.Add(lostCold))
-		a.events.belief(true, "backend server unreachable", "error", err.Error())
+		a.events.belief("backend server unreachable", "error", err.Error())
 	}
 }
 
@@ -138,7 +139,7 @@
 	a.own.down = time.Time{}
 	a.own.mu.Unlock()
 	if back {
-		a.events.belief(true, "backend server is back")
+		a.events.belief("backend server is back")
 		a.doubt(now)
 	}
 }
@@ -163,11 +164,11 @@
 	req := http1.NewRequest(http.MethodGet, a.ownService().Health(), a.address.String(), http.Header{})
 	resp, err := a.client.Do(ctx, req)
 	if err != nil {
-		a.events.belief(false, "health not told", "error", err.Error())
+		a.events.belief("health not told", "error", err.Error())
 		return
 	}
 	v := a.protocol.Verdict(resp.Status(), resp.Header())
-	a.events.belief(false, "health told", "status", resp.Status(), "cold", v.cold.String(), "known", v.coldKnown)
+	a.events.belief("health told", "status", resp.Status(), "cold", v.cold.String(), "known", v.coldKnown)
 	if now := time.Now(); v.coldKnown {
 		a.chill(now, now.Add(v.cold))
 	}
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -4,6 +4,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // events writes one line for each decision that touches a request and for each
@@ -24,21 +25,29 @@
 }
 
 // belief logs a change of what the daemon believes.
-func (e *events) belief(important bool, text string, args ...any) {
-	if e.out.Allow(important) {
+func (e *events) belief(text string, args ...any) {
+	if e.out.Allow(logs.Belief) {
 		e.log.Info(text, args...)
 	}
 }
 
-// request logs a decision on a request. Refusals and failures are important.
-func (e *events) request(important bool, text, id string, args ...any) {
-	if !e.out.Allow(important) {
+// request logs a decision on a request.
+func (e *events) request(class logs.Class, text, id string, args ...any) {
+	if !e.out.Allow(class) {
 		return
 	}
 	args = append([]any{"request", id}, args...)
-	if important {
+	if class != logs.Success {
 		e.log.Warn(text, args...)
 		return
 	}
 	e.log.Info(text, args...)
 }
+
+// classOf returns the class of the line on an outcome: a success, or otherwise.
+func classOf(o caller.Outcome, otherwise logs.Class) logs.Class {
+	if o == caller.Ran {
+		return logs.Success
+	}
+	return otherwise
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
@@ -65,7 +66,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	in.metrics.answered(e.work, r2, time.Since(begin))
-	in.events.request(r2.outcome != caller.Ran, "answered", c.ID(), "method", r.Method, "route", e.work.route,
+	in.events.request(classOf(r2.outcome, logs.Refusal), "answered", c.ID(), "method", r.Method, "route", e.work.route,
 		"service", e.work.service, "customer", e.work.customer, "outcome", r2.outcome.String(),
 		"reason", string(r2.reason), "status", r2.status, "instance", r2.instance, "tries", r2.tries,
 		"took", time.Since(begin).Round(time.Microsecond).String(), "version", e.work.version)
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -224,7 +224,7 @@
 	if err == nil {
 		return decodeGrant(answer)
 	}
-	l.events.belief(false, "limit not reached", "customer", name, "at", keeper, "error", err.Error())
+	l.events.belief("limit not reached", "customer", name, "at", keeper, "error", err.Error())
 	return l.fromReserve(ctx, now, name)
 }
 
@@ -254,7 +254,7 @@
 	}
 	answer, err := l.ask(ctx, splitter, reserveTimeout, name, 1, true)
 	if err != nil {
-		l.events.belief(false, "reserve not reached", "customer", name, "at", splitter, "error", err.Error())
+		l.events.belief("reserve not reached", "customer", name, "at", splitter, "error", err.Error())
 		return customer.NewGrant(0, 0, reserveTimeout), caller.LimitUnknown
 	}
 	return decodeGrant(answer)
@@ -372,7 +372,7 @@
 	}
 	answer, err := l.peers.exchange(l.ctx, splitter, controlTimeout, m)
 	if err != nil {
-		l.events.belief(false, "limits not leased", "by", splitter, "error", err.Error())
+		l.events.belief("limits not leased", "by", splitter, "error", err.Error())
 		return
 	}
 	l.take(time.Now(), answer)
--- a/internal/sidecar/reach.go
+++ b/internal/sidecar/reach.go
@@ -45,7 +45,7 @@
 	if r.ctx.Err() != nil || !r.placer.Lost(ip) {
 		return false
 	}
-	r.events.belief(true, "daemon unreached", "ip", ip)
+	r.events.belief("daemon unreached", "ip", ip)
 	go r.probe(ip)
 	return true
 }
@@ -60,5 +60,5 @@
 		}
 	}
 	r.placer.Found(ip)
-	r.events.belief(true, "daemon reached again", "ip", ip, "after", time.Since(begin).String())
+	r.events.belief("daemon reached again", "ip", ip, "after", time.Since(begin).String())
 }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
@@ -124,7 +125,7 @@
 	if r.answered() {
 		s.placer.Learn(w.parcel(), len(r.body))
 	}
-	s.events.request(r.outcome != caller.Ran, "placed", w.id, "service", w.service, "instance", i.ID(),
+	s.events.request(classOf(r.outcome, logs.Attempt), "placed", w.id, "service", w.service, "instance", i.ID(),
 		"expected", o.Delay().Round(time.Microsecond).String(), "choosy", choosy, "outcome", r.outcome.String(),
 		"reason", string(r.reason), "offered", r.offered, "running", r.room.Running(), "waiting", r.room.Waiting())
 	return r
@@ -142,7 +143,7 @@
 func (s *sender) remote(ctx context.Context, w *work, ip string, instance string, choosy bool) *result {
 	h := w.header.Clone()
 	if err := setMessage(h, hopHeader, encodeHop(w, instance, time.Now(), choosy)); err != nil {
-		s.events.request(true, "cannot encode", w.id, "error", err.Error())
+		s.events.request(logs.Refusal, "cannot encode", w.id, "error", err.Error())
 		return unrun(caller.BadRequest)
 	}
 	req := http1.NewRequest(w.method, w.target, w.host, h)
@@ -181,7 +182,7 @@
 		}
 	}
 	if ctx.Err() == nil {
-		s.events.belief(true, "daemon is silent", "ip", ip)
+		s.events.belief("daemon is silent", "ip", ip)
 		cancel(errSilent)
 	}
 }
--- a/internal/sidecar/work.go
+++ b/internal/sidecar/work.go
@@ -85,6 +85,8 @@
 	body   []byte
 	room   upstream.Room
 	again  time.Duration
+	// waited is the time in the queue of the daemon beside the backend server.
+	waited time.Duration
 	// instance is the instance that the daemon beside it knows.
 	instance string
 }
