Add lycheehead explain, which prints the history of a request from the logs

The way from a request's id to its cause was a grep over the logs of all daemons, and reading field names. The command picks out the lines on a request and on the calls made while it ran, from any number of logs in any order, prints them by time with the reasons in plain words, and says how many lines were dropped meanwhile and which could not be read. The fields of a line are in the schema.

--- /dev/null
+++ b/cmd/lycheehead/explain.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/lycheehead/lycheehead/internal/explain"
+)
+
+type explainCommand struct {
+	ID string `arg:"" help:"The request's id."`
+}
+
+// Run prints the history of a request from the logs on standard input.
+func (c *explainCommand) Run() error {
+	h, err := explain.Read(os.Stdin, c.ID)
+	if err != nil {
+		return withCode(exitInvalid, "explain: %w", err)
+	}
+	if _, err := h.WriteTo(os.Stdout); err != nil {
+		return fmt.Errorf("explain: %w", err)
+	}
+	if !h.Known() {
+		return withCode(exitDiffers, "no line tells of request %s", c.ID)
+	}
+	return nil
+}
--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -28,6 +28,7 @@
 	Status  statusCommand  `cmd:"" help:"Ask a daemon what it holds and why."`
 	Load    loadCommand    `cmd:"" help:"Drive requests as callers do and check both ends."`
 	Emulate emulateCommand `cmd:"" help:"Play a plan of load and troubles against the daemons' decisions in simulated time."`
+	Explain explainCommand `cmd:"" help:"Print the history of a request from the logs of any number of daemons on standard input."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,29 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/explain"
+)
+
+// TestExplain reads log lines and prints the history of one request.
+func TestExplain(t *testing.T) {
+	datadriven.RunTest(t, "testdata/explain", func(t *testing.T, d *datadriven.TestData) string {
+		h, err := explain.Read(strings.NewReader(d.Input), d.CmdArgs[0].Key)
+		if err != nil {
+			return err.Error() + "\n"
+		}
+		var out strings.Builder
+		if !h.Known() {
+			out.WriteString("unknown\n")
+		}
+		if _, err := h.WriteTo(&out); err != nil {
+			t.Fatal(err)
+		}
+		// The library puts either kind of space into its errors, at random by build.
+		return strings.ReplaceAll(out.String(), "\u00a0", " ")
+	})
+}
