--- /dev/null
+++ b/internal/sidecar/spread_store_test.go
@@ -0,0 +1,97 @@
+//go:build !race
+
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/replica"
+)
+
+// testStore is the operators' store.
+type testStore struct {
+	mu      sync.Mutex
+	items   []replica.Item
+	times   map[string]time.Time
+	away    bool
+	calls   int
+	changed chan struct{}
+}
+
+func newTestStore() *testStore {
+	s := &testStore{times: make(map[string]time.Time), changed: make(chan struct{})}
+	s.put("c/1", "", false)
+	return s
+}
+
+func (s *testStore) put(key, value string, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := replica.NewItem(key, []byte(value), uint64(len(s.items)+1))
+	if removed {
+		i = replica.NewRemoval(key, i.Revision())
+	}
+	s.items = append(s.items, i)
+	s.times[key] = time.Now()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *testStore) at(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.times[key]
+}
+
+// called says whether the store was called more often than a bound since it was
+// asked last.
+func (s *testStore) called(t *testing.T, bound string) string {
+	most, err := strconv.Atoi(bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.calls
+	s.calls = 0
+	if n > most {
+		return fmt.Sprintf("%d calls", n)
+	}
+	return "within the bound"
+}
+
+func (s *testStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *testStore) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	changed := s.changed
+	waits := !s.away && wait > 0 && int(after) == len(s.items)
+	s.mu.Unlock()
+	if waits {
+		ctx, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, 0, ErrAway
+	}
+	return slices.Clone(s.items[after:]), uint64(len(s.items)), nil
+}
