Keep the order of late claims while a cold backend server takes nothing more

Found on reading: a late claim whose turn it was went to the front of the waiting ones, and back to the end of the late ones where the rate of a cold backend server held it up, so that the one behind overtook it. The script queue has seven late claims at a cold backend server: the fifth ran after the seventh before.

--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -187,28 +187,29 @@
 func (q *Queue[W]) next(now time.Time) {
 	q.overdue(now)
 	for len(q.waiting)+len(q.late) > 0 && q.running < q.window.Size() {
+		first := &q.waiting
 		if len(q.waiting) == 0 {
-			q.waiting, q.late = append(q.waiting, q.late[0]), q.late[1:]
+			first = &q.late
 		}
-		c := q.waiting[0]
+		c := (*first)[0]
 		if !now.Add(q.least(c.demand)).Before(c.demand.deadline) {
-			q.shift()
+			*first = shift(*first)
 			c.move(Expired)
 			continue
 		}
 		if _, ok := q.pace.Take(now); !ok {
 			return
 		}
-		q.shift()
+		*first = shift(*first)
 		q.running++
 		c.started = now
 		c.move(Running)
 	}
 }
 
-func (q *Queue[W]) shift() {
-	q.waiting[0] = nil
-	q.waiting = q.waiting[1:]
+func shift(claims []*Claim) []*Claim {
+	claims[0] = nil
+	return claims[1:]
 }
 
 func (c *Claim) move(s State) {
