--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -141,8 +141,8 @@
 	return len(m.others) > 0 && now.Sub(l.begin)-time.Duration(l.heardAt.Load()) > aloneAfter
 }
 
-// keeper returns the daemon of the data centre that keeps a customer's bucket.
-func (l *limits) keeper(name string) string {
+// owner returns the daemon of the data centre that keeps a customer's bucket.
+func (l *limits) owner(name string) string {
 	m := l.members.Load()
 	if m == nil || len(m.near) == 0 {
 		return l.self
@@ -163,7 +163,7 @@
 // it does not.
 func (l *limits) since(now time.Time, name string) time.Time {
 	m := l.members.Load()
-	if m == nil || l.stopping() || l.keeper(name) != l.self || !slices.Contains(m.near, l.self) || l.alone(now, m) {
+	if m == nil || l.stopping() || l.owner(name) != l.self || !slices.Contains(m.near, l.self) || l.alone(now, m) {
 		return time.Time{}
 	}
 	settled := m.first.Add(settleFor)
@@ -222,15 +222,15 @@
 // borrow asks for tokens: the daemon of the data centre that keeps the bucket,
 // or where that one does not answer the reserve.
 func (l *limits) borrow(ctx context.Context, now time.Time, name string, n int) (customer.Grant, caller.Reason) {
-	keeper := l.keeper(name)
-	if keeper == l.self {
+	owner := l.owner(name)
+	if owner == l.self {
 		return l.lend(ctx, now, name, n)
 	}
-	answer, err := l.ask(ctx, keeper, borrowTimeout, name, n, false)
+	answer, err := l.ask(ctx, owner, borrowTimeout, name, n, false)
 	if err == nil {
 		return decodeGrant(answer)
 	}
-	l.events.belief("limit not reached", "customer", name, "at", keeper, "error", err.Error())
+	l.events.belief("limit not reached", "customer", name, "at", owner, "error", err.Error())
 	return l.fromReserve(ctx, now, name)
 }
 
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -123,7 +123,7 @@
 func (n *testNet) do(t *testing.T, w []string, most time.Duration) string {
 	for i, name := range w {
 		if centre, _, ok := strings.Cut(name, "!"); ok {
-			w[i] = n.keeper(t, centre)
+			w[i] = n.owner(t, centre)
 		}
 		if centre, rank, ok := strings.Cut(name, "#"); ok {
 			w[i] = n.reader(t, centre, rank)
@@ -230,13 +230,13 @@
 	testBurst    = 30
 )
 
-// keeper returns the name of the daemon that keeps the limit in a data centre.
-func (n *testNet) keeper(t *testing.T, centre string) string {
+// owner returns the name of the daemon that keeps the limit in a data centre.
+func (n *testNet) owner(t *testing.T, centre string) string {
 	for _, node := range n.nodes {
 		if node.centre != centre || !node.up || node.cut {
 			continue
 		}
-		ip := node.limits.keeper(testCustomer)
+		ip := node.limits.owner(testCustomer)
 		for name, other := range n.nodes {
 			if other.name == ip {
 				return name
