--- a/pkg/customer/quota_test.go
+++ b/pkg/customer/quota_test.go
@@ -52,20 +52,20 @@
 	broken bool
 }
 
-// owner returns the daemon that a data centre's requests ask for tokens.
-func (h *history) owner(centre int) *member {
+// keeper returns the daemon that a data centre's requests ask for tokens.
+func (h *history) keeper(centre int) *member {
 	for _, m := range h.members[2*centre : 2*centre+2] {
 		if !m.since.IsZero() && m.until.IsZero() {
 			return m
 		}
 	}
-	panic("no owner")
+	panic("no keeper")
 }
 
 func (h *history) step() {
 	h.now = h.now.Add(50 * time.Millisecond)
 	for c, n := range h.load {
-		asked := []*member{h.owner(c)}
+		asked := []*member{h.keeper(c)}
 		for _, m := range h.members[2*c : 2*c+2] {
 			if m.until.After(h.now) {
 				asked = append(asked, m)
@@ -141,9 +141,9 @@
 		"restart": func(t *rapid.T) { h.members[draw(t)].quota = customer.NewQuota(h.window) },
 		"cut":     func(t *rapid.T) { m := h.members[draw(t)]; m.cut = !m.cut },
 		"late":    func(t *rapid.T) { h.late = time.Duration(rapid.IntRange(0, 400).Draw(t, "late")) * time.Millisecond },
-		"owner": func(t *rapid.T) {
+		"keeper": func(t *rapid.T) {
 			c := draw(t) / 2
-			old := h.owner(c)
+			old := h.keeper(c)
 			for _, m := range h.members[2*c : 2*c+2] {
 				if m != old && m.until.Before(h.now) {
 					old.until = h.now.Add(400 * time.Millisecond)
