Keep the text of the line on dropped lines in one place

The log's writer and explain, which looks for the line, each had it: a change of one would have left explain silent about what its history lacks. Output is the same.

--- a/internal/explain/history.go
+++ b/internal/explain/history.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 )
 
@@ -22,9 +23,6 @@
 	around = 500 * time.Millisecond
 )
 
-// dropped is the text of the line that tells of lines that were dropped.
-const dropped = "log lines dropped"
-
 // entry is a line with the instant at which it was written.
 type entry struct {
 	at   time.Time
@@ -64,7 +62,7 @@
 
 func (h *History) add(text []byte, id string) error {
 	start := bytes.IndexByte(text, '{')
-	if start < 0 || !bytes.Contains(text, []byte(id)) && !bytes.Contains(text, []byte(dropped)) {
+	if start < 0 || !bytes.Contains(text, []byte(id)) && !bytes.Contains(text, []byte(logs.DroppedText)) {
 		return nil
 	}
 	line := &schema.LogLine{}
@@ -72,7 +70,7 @@
 		return fmt.Errorf("decode: %w", err)
 	}
 	about := line.GetRequest() == id || strings.HasPrefix(line.GetRequest(), id+".")
-	if !about && line.GetText() != dropped {
+	if !about && line.GetText() != logs.DroppedText {
 		return nil
 	}
 	at, err := time.Parse(time.RFC3339Nano, line.GetTime())
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -43,6 +43,9 @@
 	classes
 )
 
+// DroppedText is the text of the line that tells how many lines were dropped.
+const DroppedText = "log lines dropped"
+
 // Writer is a bounded log output. Make one with NewWriter.
 type Writer struct {
 	out io.Writer
@@ -142,8 +145,8 @@
 func (w *Writer) flush() {
 	w.mu.Lock()
 	if w.dropped > 0 {
-		w.buffer = fmt.Appendf(w.buffer, `{"@level":"warn","@message":"log lines dropped","@timestamp":%q,"lines":%d}`+"\n",
-			time.Now().Format(time.RFC3339Nano), w.dropped)
+		w.buffer = fmt.Appendf(w.buffer, `{"@level":"warn","@message":%q,"@timestamp":%q,"lines":%d}`+"\n",
+			DroppedText, time.Now().Format(time.RFC3339Nano), w.dropped)
 		w.dropped = 0
 	}
 	out := w.buffer
