Decode each item of the store by itself and reject numbers out of range

Cause: the decoder of a configuration recursed without a limit, so a deeply nested value overflowed the stack and ended the process; one item of a page whose value or revision could not be read made the whole page or watch unusable, so nothing after it was followed; entries with 9e18 slots, port 0, an unspecified address, a warm-up of 1e300 s or a start in the year 285 million were taken as instances. The conversion of such seconds to a duration also depends on the processor.

Change: items are decoded one by one; one whose value cannot be read is rejected under its key, one without key or revision is skipped, logged and counted. A rejected entry removes the instance that its key described before. The centre of a host no longer depends on the order of a map if several entries name it.

--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -34,12 +34,13 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	http1.DelaySignalShutdown(2 * s.GetBounds().GetGrace().AsDuration())
 	limitResources()
-	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(s.GetStore()), platform.Decoder{},
-		platform.OperatorPrefix, platform.InstancePrefix)
+	store := platform.NewStore(s.GetStore())
+	p := sidecar.NewPlatform(platform.Headers{}, store, platform.Decoder{}, platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, logs.NewWriter(os.Stdout), firstStart)
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
+	store.SetOnUnreadable(d.ItemSkipped)
 	if err := d.Start(); err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -301,6 +301,7 @@
 	d.metrics.gauge("copy_age_seconds", d.state.age(now).Seconds())
 	d.metrics.gauge("copy_revision", float64(d.state.replica.Revision()))
 	d.metrics.gauge("instances", float64(d.state.fleet.Size()))
+	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
 	if cfg := d.state.config.Load(); cfg != nil {
 		d.metrics.gauge("version", float64(cfg.Version()))
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -25,6 +25,8 @@
 	// in nanoseconds since startedAt, or 0 if it never was.
 	confirmedAt atomic.Int64
 	startedAt   time.Time
+	// rejectedItems counts the items that could not be decoded.
+	rejectedItems atomic.Int64
 	// onChange is called with applyMu held after changes were applied.
 	onChange func(now time.Time)
 }
@@ -61,8 +63,8 @@
 	for _, i := range changed {
 		c, err := s.decoder.Decode(i)
 		if err != nil {
-			s.events.stateChange("store item rejected", "key", i.Key(), "revision", i.Revision(), "error", err.Error())
-			continue
+			s.events.stateChange("store item rejected", "key", i.Key(), "revision", i.Revision(), "bytes", len(i.Value()), "error", err.Error())
+			s.rejectedItems.Add(1)
 		}
 		if c != nil {
 			c.apply(now, s)
@@ -94,8 +96,9 @@
 }
 
 func (c removalChange) apply(now time.Time, s *fleetState) {
-	s.fleet.Remove(now, c.id)
-	s.events.stateChange("instance removed", "instance", c.id)
+	if s.fleet.Remove(now, c.id) {
+		s.events.stateChange("instance removed", "instance", c.id)
+	}
 }
 
 func (c evacuationChange) apply(now time.Time, s *fleetState) {
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -107,7 +107,8 @@
 // Decoder decodes items of the store.
 type Decoder interface {
 	// Decode returns the change that an item describes, or nil if the item is
-	// not relevant to the daemon.
+	// not relevant to the daemon. With an error it may return a change, too: the
+	// removal of the instance that the item described before.
 	Decode(i replica.Item) (Change, error)
 }
 
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -37,3 +37,10 @@
 func (d *Daemon) ReloadFailed(err error) {
 	d.events.stateChange("invalid settings ignored", "error", err.Error())
 }
+
+// ItemSkipped logs and counts an item of the store that was skipped because its key or its
+// revision could not be read.
+func (d *Daemon) ItemSkipped(size int, err error) {
+	d.events.stateChange("store item skipped", "bytes", size, "error", err.Error())
+	d.state.rejectedItems.Add(1)
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -48,6 +48,17 @@
 {"resource-type":"tenants","metadata":{"name":"kunde"},"spec":{"api-keys":[%q],"rate-per-s":1000,"burst":1000}},
 {"resource-type":"limits","metadata":{},"spec":{"max-body-bytes":1000000}}]}`
 
+// oddEntries are entries of other writers by kind.
+var oddEntries = map[string]string{
+	"bytes":  "\xff\x00\xfe",
+	"nested": `{"address":` + strings.Repeat("[", 200_000),
+	"number": `{"address":"127.0.0.1:28415","born":1,"info":{"service":"a","zone":"muc","slots":9000000000000000000},"status":{"state":"ready"}}`,
+	"port":   `{"address":"127.0.0.1:99999","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+	"zero":   `{"address":"127.0.0.1:0","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+	"cold":   `{"address":"127.0.0.1:28415","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready","warmup-left-s":1e300}}`,
+	"future": `{"address":"127.0.0.1:28415","born":9000000000000000000,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+}
+
 // testFleet is a number of daemons with their backend servers, and a store. The maps are
 // keyed by the name of the machine.
 type testFleet struct {
@@ -168,6 +179,10 @@
 	case "remove":
 		f.store.put("servers/i"+args[1][1:], "", true)
 		time.Sleep(1800 * time.Millisecond)
+	case "odd": // odd id kind: another writer puts an odd entry
+		f.store.put("servers/"+args[1], oddEntries[args[2]], false)
+	case "oddconfig":
+		f.store.put("op/config", `{"config-version":"ff","x":`+strings.Repeat("[", 3_000_000), false)
 	case "evacuate":
 		f.store.put("op/evacuate/"+args[1], "{}", len(args) > 2)
 		time.Sleep(500 * time.Millisecond)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -70,14 +70,14 @@
 
 // Remove records that the entry of an instance vanished from the store. Unless it was
 // draining, the instance stays usable for 500 ms, or until 2.5 s after the store was
-// last unavailable if that was less than 1.5 s ago. Remove has no effect on an unknown
-// or removed instance.
-func (f *Fleet) Remove(now time.Time, id string) {
+// last unavailable if that was less than 1.5 s ago. It returns false, and has no effect, if
+// the instance is unknown or already removed.
+func (f *Fleet) Remove(now time.Time, id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.records[id]
 	if !ok || !r.removedAt.IsZero() {
-		return
+		return false
 	}
 	r.removedAt = now
 	r.usableUntil = now.Add(vanishedGrace)
@@ -85,6 +85,7 @@
 		r.usableUntil = f.storeUnavailableAt.Add(outageGrace)
 	}
 	f.records[id] = r
+	return true
 }
 
 // MarkStoreUnavailable records that the store was unavailable at the given time. A time
@@ -198,10 +199,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	found := make(map[string]Host)
+	latest := make(map[string]record)
 	for _, r := range f.records {
 		ip := r.instance.address.Host()
-		h := found[ip]
-		found[ip] = Host{ip: ip, centre: r.instance.centre, live: h.live || r.removedAt.IsZero()}
+		if other, ok := latest[ip]; !ok || describesHost(r, other) {
+			latest[ip] = r
+		}
+		found[ip] = Host{ip: ip, centre: latest[ip].instance.centre, live: latest[ip].removedAt.IsZero()}
 	}
 	list := make([]Host, 0, len(found))
 	for _, h := range found {
@@ -211,6 +215,18 @@
 	return list
 }
 
+// describesHost reports whether a record is preferred to another one for the same host:
+// one that is present in the store, then the one that started last.
+func describesHost(r, other record) bool {
+	if r.removedAt.IsZero() != other.removedAt.IsZero() {
+		return r.removedAt.IsZero()
+	}
+	if !r.instance.startedAt.Equal(other.instance.startedAt) {
+		return r.instance.startedAt.After(other.instance.startedAt)
+	}
+	return r.instance.id < other.instance.id
+}
+
 // Size returns the number of published instances, including draining ones.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
