--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -34,6 +34,8 @@
 	address     string
 	dialTimeout time.Duration
 	maxIdle     int
+	// budget bounds the memory for the bodies of responses, nil for no limit.
+	budget *Budget
 	// mu has rank lock.Connections and guards the fields below.
 	mu *lock.Mutex
 	// idle holds the idle connections. The last one was used most recently.
@@ -48,6 +50,13 @@
 	return &Client{address: address, dialTimeout: dialTimeout, maxIdle: maxIdle, mu: lock.New(lock.Connections)}
 }
 
+// WithBudget sets the budget from which the memory for the bodies of responses is taken, and
+// returns the client. It must be called before the client is used.
+func (c *Client) WithBudget(b *Budget) *Client {
+	c.budget = b
+	return c
+}
+
 // Do sends a request at most once and returns the complete response. When ctx ends, it
 // gives up. Every error wraps ErrNotSent, ErrBodyNotRequested or ErrResponseLost. The
 // server may have executed the request only if the error wraps neither of the first two.
@@ -109,7 +118,7 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return newConn(raw), nil
+	return newConn(raw, c.budget), nil
 }
 
 // Connect opens a connection and keeps it for later requests. It returns ErrDial if the
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -18,8 +18,10 @@
 // conn is a connection to the server. It is used by one request at a time.
 type conn struct {
 	net.Conn
-	r *bufio.Reader
-	w *bufio.Writer
+	head   *headReader
+	r      *bufio.Reader
+	budget *Budget
+	w      *bufio.Writer
 	// written counts the bytes written to the connection.
 	written   *countingWriter
 	idleSince time.Time
@@ -40,11 +42,14 @@
 	return n, err //nolint:wrapcheck // wrapped by the caller
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(c net.Conn, b *Budget) *conn {
 	written := &countingWriter{w: c}
+	head := &headReader{src: c}
 	return &conn{
 		Conn:    c,
-		r:       bufio.NewReaderSize(c, bufferBytes),
+		head:    head,
+		r:       bufio.NewReaderSize(head, bufferBytes),
+		budget:  b,
 		w:       bufio.NewWriterSize(written, bufferBytes),
 		written: written,
 	}
@@ -157,7 +162,7 @@
 // awaitContinue waits until the server asks for the body, and returns nil. If the
 // server sends a final response instead, it returns that.
 func (c *conn) awaitContinue(r *Request) (*Response, error) {
-	for {
+	for range maxInterim {
 		resp, err := c.readHead(r)
 		if err != nil {
 			return nil, err
@@ -171,6 +176,7 @@
 		out, _, err := c.readBody(resp)
 		return out, err
 	}
+	return nil, fmt.Errorf("%w: more than %d interim responses", ErrResponseLost, maxInterim)
 }
 
 // readResponse reads the response to a request, skipping interim responses and
@@ -178,12 +184,14 @@
 // and the server keeps the connection open.
 func (c *conn) readResponse(r *Request) (resp *Response, clean bool, err error) {
 	clean = true
-	for {
+	interim, skipped := 0, 0
+	for interim <= maxInterim && skipped <= maxSkipped {
 		head, err := c.readHead(r)
 		if err != nil {
 			return nil, false, err
 		}
 		if head.StatusCode < http.StatusOK {
+			interim++
 			continue
 		}
 		out, keep, err := c.readBody(head)
@@ -193,18 +201,25 @@
 		clean = clean && keep
 		if r.matches != nil && !r.matches(head.Header) {
 			if !keep {
+				out.Release()
 				return nil, false, fmt.Errorf("%w: response to another request", ErrResponseLost)
 			}
+			out.Release()
 			clean = false
+			skipped++
 			continue
 		}
 		// Bytes after the response belong to no request.
 		return out, clean && c.r.Buffered() == 0, nil
 	}
+	return nil, false, fmt.Errorf("%w: %d interim responses (limit %d) and %d responses to other requests (limit %d)",
+		ErrResponseLost, interim, maxInterim, skipped, maxSkipped)
 }
 
 func (c *conn) readHead(r *Request) (*http.Response, error) {
+	c.head.beginHead(c.r.Buffered())
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: r.method})
+	c.head.endHead()
 	if err != nil {
 		return nil, fmt.Errorf("%w: read response: %w", ErrResponseLost, err)
 	}
@@ -214,13 +229,14 @@
 // readBody reads the body of a response. keep reports whether the server keeps the
 // connection open afterwards.
 func (c *conn) readBody(head *http.Response) (resp *Response, keep bool, err error) {
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
+	length := head.ContentLength
+	if head.Request.Method == http.MethodHead {
+		length = 0
+	}
+	body, lease, err := c.budget.ReadBody(head.Body, length, maxResponseBytes)
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: read body: %w", ErrResponseLost, err)
 	}
-	if len(body) > maxResponseBytes {
-		return nil, false, fmt.Errorf("%w: %w", ErrResponseLost, ErrResponseTooLarge)
-	}
 	c.keepAlive = parseKeepAlive(head.Header)
-	return &Response{status: head.StatusCode, header: head.Header, body: body}, !head.Close, nil
+	return &Response{status: head.StatusCode, header: head.Header, body: body, lease: lease}, !head.Close, nil
 }
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -18,7 +18,8 @@
 	// ErrRequestBody means that reading the request body from its source failed
 	// while it was being sent. Such an error also wraps ErrResponseLost.
 	ErrRequestBody = eris.New("cannot read request body")
-	// ErrResponseTooLarge means that a response body exceeds 32 MiB. Such an error
-	// also wraps ErrResponseLost.
-	ErrResponseTooLarge = eris.New("response too large")
+	// ErrBodyTooLarge means that a body exceeds its limit, which is 32 MiB for responses,
+	// or the memory that is left for bodies. An error of Client.Do that wraps it also
+	// wraps ErrResponseLost.
+	ErrBodyTooLarge = eris.New("body too large")
 )
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -196,8 +196,13 @@
 	status int
 	header http.Header
 	body   []byte
+	lease  *Lease
 }
 
+// Release returns the memory of the body to the client's budget. The body must not be used
+// afterwards. It may be called more than once.
+func (r *Response) Release() { r.lease.Release() }
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.status }
 
--- /dev/null
+++ b/internal/http1/pipeline.go
@@ -0,0 +1,457 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
+)
+
+const (
+	// maxPipelined is the maximum number of requests of one connection that have been
+	// read and not been answered.
+	maxPipelined = 16
+	// readBufferBytes is the size of the read buffer of a connection.
+	readBufferBytes = 2 << 10
+	// lingerTimeout is how long a connection is kept after its last response, so that
+	// bytes of the client that arrive meanwhile do not reset it before the client has
+	// read the response.
+	lingerTimeout = 500 * time.Millisecond
+	// shutdownPollInterval is the time between two checks whether all connections have
+	// ended.
+	shutdownPollInterval = 20 * time.Millisecond
+	// minAcceptDelay and maxAcceptDelay bound the time between two attempts to accept
+	// connections while that fails, for example for lack of file descriptors.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+)
+
+// PipelineServer is an HTTP/1.1 server whose clients may send further requests before
+// the first has been answered. Requests with safe methods and without a body run
+// concurrently, at most 16 on a connection; any other request waits until those before
+// it have been answered. Responses are sent in the order of the requests.
+//
+// The server reads from each connection at all times, so that the contexts of all its
+// requests end as soon as the client disconnects. A request that was read behind the
+// last response of a connection is not passed to the handler.
+//
+// Use ListenPipelined to create one.
+type PipelineServer struct {
+	handler  http.Handler
+	listener net.Listener
+	onPanic  func(value any, stack []byte)
+	// ctx is the parent of the contexts of all requests.
+	ctx    context.Context //nolint:containedctx // lives as long as the server
+	cancel context.CancelFunc
+	// mu has rank lock.Connections and guards the fields below.
+	mu       *lock.Mutex
+	conns    map[*serverConn]struct{}
+	draining bool
+}
+
+// ListenPipelined starts a server for handler on an IP address and port and returns at
+// once. The server runs until Shutdown. onPanic is called when the handler panics with
+// a value other than http.ErrAbortHandler; the connection is closed in both cases.
+func ListenPipelined(address string, handler http.Handler, onPanic func(value any, stack []byte)) (*PipelineServer, error) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, fmt.Errorf("parse listen address %q: %w", address, err)
+	}
+	// Connections that are idle are closed after a timeout, so the kernel need not probe
+	// whether clients are alive.
+	config := net.ListenConfig{KeepAlive: -1}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &PipelineServer{
+		handler: handler, listener: l, onPanic: onPanic, ctx: ctx, cancel: cancel,
+		mu: lock.New(lock.Connections), conns: make(map[*serverConn]struct{}),
+	}
+	go s.accept()
+	return s, nil
+}
+
+func (s *PipelineServer) accept() {
+	delay := minAcceptDelay
+	for {
+		raw, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select {
+			case <-time.After(delay):
+			case <-s.ctx.Done():
+				return
+			}
+			delay = min(2*delay, maxAcceptDelay)
+			continue
+		}
+		delay = minAcceptDelay
+		setUnackedTimeout(raw)
+		if c := s.add(raw); c != nil {
+			go c.serve()
+		}
+	}
+}
+
+// add registers a new connection. It returns nil if the server is shutting down.
+func (s *PipelineServer) add(raw net.Conn) *serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		_ = raw.Close()
+		return nil
+	}
+	head := &headReader{src: raw}
+	c := &serverConn{server: s, raw: raw, head: head, r: bufio.NewReaderSize(head, readBufferBytes), mu: lock.New(lock.Connections)}
+	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	c.slots = make(chan struct{}, maxPipelined)
+	s.conns[c] = struct{}{}
+	return c
+}
+
+func (s *PipelineServer) remove(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// openConns returns the connections that are open.
+func (s *PipelineServer) openConns() []*serverConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*serverConn, 0, len(s.conns))
+	for c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Shutdown stops accepting connections and requests, and waits until those that have
+// been read are answered. If ctx ends first, it closes their connections.
+func (s *PipelineServer) Shutdown(ctx context.Context) error {
+	err := s.listener.Close()
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	for _, c := range s.openConns() {
+		c.beginClose()
+	}
+	ticker := time.NewTicker(shutdownPollInterval)
+	defer ticker.Stop()
+	for len(s.openConns()) > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	s.cancel()
+	for _, c := range s.openConns() {
+		_ = c.raw.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("shut down server: %w", err)
+	}
+	return nil
+}
+
+// serverConn is a connection of a client. Its serve goroutine reads requests, and each
+// request has a goroutine that runs the handler and writes the response.
+type serverConn struct {
+	server *PipelineServer
+	raw    net.Conn
+	head   *headReader
+	r      *bufio.Reader
+	ctx    context.Context //nolint:containedctx // ends with the connection
+	cancel context.CancelFunc
+	// slots bounds the requests that have not been answered.
+	slots chan struct{}
+	// mu has rank lock.Connections and guards the fields below.
+	mu *lock.Mutex
+	// open is the number of requests that have not been answered, and last the request
+	// that was read last.
+	open int
+	last *exchange
+	// reading is set while the head of a request is being read.
+	reading bool
+	// closing is set once no further requests are accepted. The response to the last
+	// request announces it.
+	closing bool
+}
+
+// serve reads requests until the connection ends.
+func (c *serverConn) serve() {
+	defer func() {
+		c.cancel()
+		_ = c.raw.Close()
+		c.server.remove(c)
+	}()
+	for {
+		e, err := c.next()
+		var rejected *requestError
+		switch {
+		case errors.As(err, &rejected):
+			c.reject(rejected)
+			c.discard()
+			return
+		case err != nil:
+			return
+		case e == nil:
+			c.discard()
+			return
+		}
+		go e.run()
+		if e.body != nil {
+			// The body is on the connection before the next request.
+			select {
+			case <-e.body.ended:
+			case <-e.done:
+			}
+			if !e.body.complete() {
+				c.discard()
+				return
+			}
+		}
+	}
+}
+
+// next reads the head of the next request. It returns nil if no further request is
+// accepted. A request that may not run beside others is returned once these have been
+// answered.
+func (c *serverConn) next() (*exchange, error) {
+	c.awaitRequest()
+	c.head.beginHead(c.r.Buffered())
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, fmt.Errorf("await request: %w", err)
+	}
+	if !c.beginRead() {
+		return nil, nil //nolint:nilnil // neither a request nor an error
+	}
+	req, framing, err := parseHead(c.r)
+	c.head.endHead()
+	if err != nil {
+		return nil, err
+	}
+	if err := c.awaitSlot(); err != nil {
+		return nil, err
+	}
+	e := newExchange(c, req, framing)
+	if !runsBesideOthers(req, framing) {
+		if err := c.awaitAnswers(); err != nil {
+			return nil, err
+		}
+	}
+	if !c.accept(e) {
+		return nil, nil //nolint:nilnil // neither a request nor an error
+	}
+	return e, nil
+}
+
+// runsBesideOthers reports whether a request may run while other requests of its
+// connection do.
+func runsBesideOthers(req *http.Request, f bodyFraming) bool {
+	if f.chunked || f.length > 0 || req.Header["Expect"] != nil {
+		return false
+	}
+	return req.Method == http.MethodGet || req.Method == http.MethodHead || req.Method == http.MethodOptions
+}
+
+// awaitRequest starts the idle timeout if no request is open.
+func (c *serverConn) awaitRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == 0 && c.r.Buffered() == 0 {
+		_ = c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
+}
+
+// beginRead records that the first byte of a request has arrived, and reports whether
+// the request is accepted.
+func (c *serverConn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.reading = true
+	_ = c.raw.SetReadDeadline(time.Now().Add(headerTimeout))
+	return true
+}
+
+// awaitSlot waits until fewer than maxPipelined requests are open.
+func (c *serverConn) awaitSlot() error {
+	select {
+	case c.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	acquired := make(chan struct{})
+	go func() {
+		select {
+		case c.slots <- struct{}{}:
+			close(acquired)
+		case <-c.ctx.Done():
+		}
+	}()
+	return c.watchUntil(acquired)
+}
+
+// awaitAnswers waits until all requests before the current one have been answered.
+func (c *serverConn) awaitAnswers() error {
+	c.mu.Lock()
+	last := c.last
+	c.mu.Unlock()
+	if last == nil {
+		return nil
+	}
+	return c.watchUntil(last.done)
+}
+
+// watchUntil waits until done is closed, and returns an error if the client disconnects
+// before that. Once further requests of the client fill the buffer, a client that
+// disconnects is no longer noticed.
+func (c *serverConn) watchUntil(done <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	interrupted := make(chan struct{})
+	go func() {
+		defer close(interrupted)
+		select {
+		case <-done:
+			_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		case <-ctx.Done():
+		}
+	}()
+	_ = c.raw.SetReadDeadline(time.Time{})
+	for {
+		_, err := c.r.Peek(c.r.Buffered() + 1)
+		switch {
+		case err == nil:
+		case errors.Is(err, bufio.ErrBufferFull):
+			select {
+			case <-done:
+			case <-c.ctx.Done():
+				return fmt.Errorf("await answers: %w", c.ctx.Err())
+			}
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			<-interrupted
+			return nil
+		default:
+			return fmt.Errorf("await answers: %w", err)
+		}
+	}
+}
+
+// accept makes a request the last one of the connection, unless the connection is
+// being closed.
+func (c *serverConn) accept(e *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.closing {
+		return false
+	}
+	if c.last != nil {
+		e.previous = c.last.done
+	}
+	c.last = e
+	c.open++
+	c.closing = e.request.Close
+	_ = c.raw.SetReadDeadline(time.Time{})
+	return true
+}
+
+// beginClose accepts no further requests. If no request is open, it closes the
+// connection.
+func (c *serverConn) beginClose() {
+	c.mu.Lock()
+	c.closing = true
+	idle := c.open == 0
+	c.mu.Unlock()
+	if idle {
+		_ = c.raw.Close()
+	}
+}
+
+// lastResponse reports whether the connection ends with the response to e, and makes
+// it so if e requires that and no other request has been accepted.
+func (c *serverConn) lastResponse(e *exchange, closeAfter bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || closeAfter
+	return c.closing && c.last == e
+}
+
+// finish records that a request has been answered. After the last response of the
+// connection it stops writing, and bounds the time for which the client may still write.
+func (c *serverConn) finish(e *exchange) {
+	<-c.slots
+	c.mu.Lock()
+	c.open--
+	last := c.closing && c.last == e
+	if c.open == 0 && !c.reading && !last {
+		_ = c.raw.SetReadDeadline(time.Now().Add(idleTimeout))
+	}
+	c.mu.Unlock()
+	if !last {
+		return
+	}
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
+// reject answers a request that could not be read, once those before it have been
+// answered, and accepts no further requests.
+func (c *serverConn) reject(err *requestError) {
+	if c.awaitSlot() != nil {
+		return
+	}
+	e := newExchange(c, &http.Request{Close: true, ProtoMajor: 1, ProtoMinor: 1}, bodyFraming{})
+	if !c.accept(e) {
+		return
+	}
+	e.header.Set("Content-Type", "text/plain; charset=utf-8")
+	e.WriteHeader(err.status)
+	_, _ = e.Write([]byte(err.text + "\n"))
+	go e.finish()
+}
+
+// discard reads and ignores what the client sends until the connection ends. While
+// requests are open, the end of the connection cancels them.
+func (c *serverConn) discard() {
+	c.head.endHead()
+	for {
+		if _, err := c.r.Discard(max(c.r.Buffered(), 1)); err != nil {
+			return
+		}
+	}
+}
+
+// runHandler calls the handler and reports whether it returned normally.
+func (c *serverConn) runHandler(e *exchange, req *http.Request) (ok bool) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		ok = false
+		if err, isErr := v.(error); !isErr || !errors.Is(err, http.ErrAbortHandler) {
+			c.server.onPanic(v, debug.Stack())
+		}
+	}()
+	c.server.handler.ServeHTTP(e, req)
+	return true
+}
--- /dev/null
+++ b/internal/http1/pipeline_test.go
@@ -0,0 +1,263 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/http1"
+)
+
+// scriptedHandler handles requests as their paths say and records what happens to them.
+type scriptedHandler struct {
+	mu     sync.Mutex
+	gates  map[string]chan struct{}
+	events []string
+}
+
+func (h *scriptedHandler) record(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.events = append(h.events, fmt.Sprintf(format, args...))
+}
+
+// drain returns the events since the last call, sorted.
+func (h *scriptedHandler) drain() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	events := h.events
+	h.events = nil
+	slices.Sort(events)
+	return events
+}
+
+func (h *scriptedHandler) gate(path string) chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.gates[path] == nil {
+		h.gates[path] = make(chan struct{})
+	}
+	return h.gates[path]
+}
+
+// ServeHTTP implements http.Handler. The first segment of the path says what happens:
+// wait waits until the script releases the path or the client leaves.
+func (h *scriptedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.record("begins %s", r.URL.Path)
+	verb, _, _ := strings.Cut(r.URL.Path[1:], "/")
+	switch verb {
+	case "wait":
+		select {
+		case <-h.gate(r.URL.Path):
+		case <-r.Context().Done():
+			h.record("cancelled %s", r.URL.Path)
+			return
+		}
+	case "close":
+		w.Header().Set("Connection", "close")
+	case "panic":
+		panic("as the script says")
+	case "abort":
+		panic(http.ErrAbortHandler)
+	case "short":
+		w.Header().Set("Content-Length", "100")
+	case "stream":
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+	case "refuse":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case "large":
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		h.record("body of %s cut", r.URL.Path)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, "for "+r.URL.Path)
+	if len(body) > 0 {
+		_, _ = fmt.Fprintf(w, " of %d", len(body))
+	}
+}
+
+// pipelineScript is the state of one script.
+type pipelineScript struct {
+	t       *testing.T
+	handler *scriptedHandler
+	server  *http1.PipelineServer
+	address string
+	conn    net.Conn
+	reader  *bufio.Reader
+	// stopped is closed once Shutdown has returned.
+	stopped chan struct{}
+}
+
+// requestTexts are the requests that a script can send. %s is the path.
+var requestTexts = map[string]string{
+	"get":      "GET %s HTTP/1.1\r\nHost: h\r\n\r\n",
+	"head":     "HEAD %s HTTP/1.1\r\nHost: h\r\n\r\n",
+	"last":     "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+	"old":      "GET %s HTTP/1.0\r\n\r\n",
+	"post":     "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+	"chunked":  "POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n\r\n",
+	"await":    "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n",
+	"halfpost": "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nhello",
+	"half":     "GET %s HTT",
+	"garbage":  "\x00\x01%s\r\n\r\n",
+	"both":     "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
+	"lengths":  "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+	"signed":   "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: +5\r\n\r\nhello",
+	"gzip":     "POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	"hostless": "GET %s HTTP/1.1\r\n\r\n",
+	"spaced":   "GET %s HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n",
+	"two":      "GET %s HTTP/2.0\r\nHost: h\r\n\r\n",
+	"endless":  "GET %s HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 100_000) + "\r\n\r\n",
+}
+
+// TestPipeline runs scripts against a server. A script line is a request to send, or a
+// command.
+func TestPipeline(t *testing.T) {
+	datadriven.RunTest(t, "testdata/pipeline", func(t *testing.T, d *datadriven.TestData) string {
+		s := &pipelineScript{t: t, handler: &scriptedHandler{gates: make(map[string]chan struct{})}, address: freeAddress(t), stopped: make(chan struct{})}
+		var err error
+		s.server, err = http1.ListenPipelined(s.address, s.handler, func(v any, _ []byte) { s.handler.record("panic: %v", v) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.connect()
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			out.WriteString(s.runLine(line))
+		}
+		s.stop(0)
+		return out.String()
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *pipelineScript) connect() {
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.conn, s.reader = c, bufio.NewReader(c)
+}
+
+func (s *pipelineScript) stop(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_ = s.server.Shutdown(ctx)
+}
+
+func (s *pipelineScript) runLine(line string) string {
+	args := strings.Fields(line)
+	if text, ok := requestTexts[args[0]]; ok {
+		_, _ = io.WriteString(s.conn, fmt.Sprintf(text, args[1]))
+		return ""
+	}
+	switch args[0] {
+	case "raw":
+		_, _ = io.WriteString(s.conn, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(strings.TrimPrefix(line, "raw ")))
+	case "many":
+		for i := range 40 {
+			_, _ = io.WriteString(s.conn, fmt.Sprintf(requestTexts["get"], fmt.Sprintf("/wait/%d", i)))
+		}
+	case "release":
+		close(s.handler.gate(args[1]))
+	case "settle":
+		// Wait until the server has processed what was sent.
+		time.Sleep(50 * time.Millisecond)
+	case "seen":
+		time.Sleep(50 * time.Millisecond)
+		events := s.handler.drain()
+		if len(events) == 0 {
+			return "  nothing\n"
+		}
+		return "  " + strings.Join(events, ", ") + "\n"
+	case "count":
+		time.Sleep(50 * time.Millisecond)
+		return fmt.Sprintf("  %d events\n", len(s.handler.drain()))
+	case "read":
+		return s.read(http.MethodGet)
+	case "readhead":
+		return s.read(http.MethodHead)
+	case "end":
+		return s.readEnd()
+	case "leave":
+		_ = s.conn.Close()
+	case "reset":
+		_ = s.conn.(*net.TCPConn).SetLinger(0)
+		_ = s.conn.Close()
+	case "connect":
+		s.connect()
+	case "shutdown":
+		go func() {
+			s.stop(time.Second)
+			close(s.stopped)
+		}()
+		time.Sleep(50 * time.Millisecond)
+	case "stopped":
+		select {
+		case <-s.stopped:
+			return "  stopped\n"
+		case <-time.After(2 * time.Second):
+			return "  still running\n"
+		}
+	default:
+		s.t.Fatalf("unknown line %q", line)
+	}
+	return ""
+}
+
+// read reads the next response.
+func (s *pipelineScript) read(method string) string {
+	_ = s.conn.SetReadDeadline(time.Now().Add(time.Second))
+	resp, err := http.ReadResponse(s.reader, &http.Request{Method: method})
+	if err != nil {
+		return "  no response\n"
+	}
+	body, err := io.ReadAll(resp.Body)
+	text := fmt.Sprintf("  %d %s", resp.StatusCode, strings.TrimSpace(string(body)))
+	if len(body) > 1000 {
+		text = fmt.Sprintf("  %d %d bytes", resp.StatusCode, len(body))
+	}
+	if err != nil {
+		text += " (cut)"
+	}
+	if resp.Close {
+		text += ", closes"
+	}
+	return text + "\n"
+}
+
+// readEnd reports how the connection ends.
+func (s *pipelineScript) readEnd() string {
+	_ = s.conn.SetReadDeadline(time.Now().Add(time.Second))
+	rest, err := io.ReadAll(s.reader)
+	switch {
+	case err != nil && strings.Contains(err.Error(), "timeout"):
+		return "  open\n"
+	case err != nil:
+		return "  reset\n"
+	}
+	return fmt.Sprintf("  closed, %d more bytes\n", len(rest))
+}
--- /dev/null
+++ b/internal/http1/request_body.go
@@ -0,0 +1,54 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// requestBody is the body of a request. The handler may read it until it returns, or in
+// another goroutine.
+type requestBody struct {
+	exchange *exchange
+	src      io.Reader
+	// expectsContinue is set until the client has been asked for the body.
+	expectsContinue bool
+	// mu is held while the connection is read. It is not ranked, as no other lock is
+	// taken by those who hold it.
+	mu     sync.Mutex
+	closed bool
+	// whole is set once the whole body has been read, and ended is closed then.
+	whole atomic.Bool
+	ended chan struct{}
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	if b.expectsContinue {
+		b.expectsContinue = false
+		if err := b.exchange.writeContinue(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.src.Read(p)
+	if errors.Is(err, io.EOF) && !b.whole.Load() {
+		_ = b.exchange.conn.raw.SetReadDeadline(time.Time{})
+		b.whole.Store(true)
+		close(b.ended)
+	}
+	return n, err //nolint:wrapcheck // readers compare io.EOF itself
+}
+
+// Close implements io.Closer. The server closes the body itself.
+func (b *requestBody) Close() error { return nil }
+
+// complete reports whether the whole body has been read.
+func (b *requestBody) complete() bool { return b.whole.Load() }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -50,7 +50,7 @@
 	metrics         *metrics
 	out             *logs.Writer
 	events          *events
-	servers         []*http1.Server
+	servers         []httpServer
 	cancel          context.CancelFunc
 	// stopping is set once Stop has been called.
 	stopping atomic.Bool
@@ -60,6 +60,11 @@
 	openRequests atomic.Int64
 }
 
+// httpServer is a server on one of the daemon's addresses.
+type httpServer interface {
+	Shutdown(ctx context.Context) error
+}
+
 // Platform adapts the daemon to a platform: to its header fields, its store and the
 // formats of the store's items.
 type Platform struct {
@@ -232,8 +237,6 @@
 		handler       http.Handler
 	}{
 		{"control", s.GetControl(), control},
-		{"inbound", s.GetInbound(), d.inbound},
-		{"outbound", s.GetOutbound(), d.countOpen(d.ingress)},
 		{"ready", s.GetReady(), http.HandlerFunc(d.serveReady)},
 	} {
 		server, err := http1.Listen(l.name, l.address, l.handler)
@@ -242,6 +245,19 @@
 		}
 		d.servers = append(d.servers, server)
 	}
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"inbound", s.GetInbound(), d.inbound},
+		{"outbound", s.GetOutbound(), d.countOpen(d.ingress)},
+	} {
+		server, err := http1.ListenPipelined(l.address, l.handler, d.events.panicked)
+		if err != nil {
+			return fmt.Errorf("listen on %s address: %w", l.name, err)
+		}
+		d.servers = append(d.servers, server)
+	}
 	go d.watcher.run(d.gossiper.ctx)
 	go d.gossiper.run()
 	go d.gossiper.runHeartbeats()
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"fmt"
+
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
@@ -32,6 +34,12 @@
 	}
 }
 
+// panicked logs a panic. The process continues: the request or task that panicked has no
+// result.
+func (e *events) panicked(value any, stack []byte) {
+	e.stateChange("panic", "value", fmt.Sprint(value), "stack", string(stack))
+}
+
 // request logs a decision on a request.
 func (e *events) request(class logs.Class, text, id string, args ...any) {
 	if !e.out.Allow(class) {
