Serve pipelined requests of callers side by side

Cause: the server of net/http handles the requests of one connection one after the other, and stops watching a connection once a further request has been read. Callers of Neon Night Tours send further idempotent requests before the first has been answered: a slow one cost the others their objective, and work for callers that had left went on.

Ruled out: a reader in front of net/http, which notices that the caller has left but runs the requests one after the other.

Change: http1.ListenPipelined serves both daemons' callers, and the requests between sidecars. It reads at all times, runs requests with safe methods and without a body side by side (16 on a connection), answers in order, and refuses requests whose length others may understand differently. The heads of requests and responses, interim responses and responses to other requests are bounded, and bodies take their memory from a budget.

Tests: internal/http1/testdata/pipeline, internal/sidecar/testdata/sidecar/pipeline.

--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -56,11 +56,14 @@
 	defer stop()
 	http1.DelaySignalShutdown(settings.ShutdownTimeout(s) + 2*closeTimeout)
 	limitResources()
-	d, err := daemon.New(s, id, newLogger(s))
+	log := newLogger(s)
+	d, err := daemon.New(s, id, log)
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
-	servers, err := serve(s, d)
+	servers, err := serve(s, d, func(value any, stack []byte) {
+		log.Error("panic", "value", fmt.Sprint(value), "stack", string(stack))
+	})
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
@@ -91,27 +94,27 @@
 }
 
 // serve opens the listeners for callers, for the requests of the backend server and
-// for operators.
-func serve(s *schema.Settings, d *daemon.Daemon) ([]*http1.Server, error) {
+// for operators. onPanic is called when the handling of a request panics.
+func serve(s *schema.Settings, d *daemon.Daemon, onPanic func(value any, stack []byte)) ([]http1.Server, error) {
 	l := s.GetListen()
 	admin, err := http1.Listen("admin", l.GetAdmin(), adminhttp.NewHandler(d))
 	if err != nil {
 		return nil, fmt.Errorf("open admin listener: %w", err)
 	}
-	local, err := http1.Listen("local", l.GetLocal(), callerhttp.NewLocalHandler(d))
+	local, err := http1.ListenPipelined(l.GetLocal(), callerhttp.NewLocalHandler(d), onPanic)
 	if err != nil {
 		return nil, fmt.Errorf("open local listener: %w", err)
 	}
-	callers, err := http1.Listen("caller", l.GetCaller(), callerhttp.NewHandler(d))
+	callers, err := http1.ListenPipelined(l.GetCaller(), callerhttp.NewHandler(d), onPanic)
 	if err != nil {
 		return nil, fmt.Errorf("open caller listener: %w", err)
 	}
-	return []*http1.Server{callers, local, admin}, nil
+	return []http1.Server{callers, local, admin}, nil
 }
 
 // shutdown refuses new requests, waits for the running ones up to the configured time
 // limit and then closes the daemon.
-func shutdown(s *schema.Settings, d *daemon.Daemon, servers []*http1.Server) error {
+func shutdown(s *schema.Settings, d *daemon.Daemon, servers []http1.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), settings.ShutdownTimeout(s))
 	defer cancel()
 	err := d.Drain(ctx)
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -59,7 +59,9 @@
 		e.body = &requestBody{
 			exchange: e, src: newBodyReader(c.r, f), ended: make(chan struct{}),
 			expectsContinue: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
+			idle:            make(chan struct{}, 1),
 		}
+		e.body.idle <- struct{}{}
 		req.Body = e.body
 	}
 	return e
@@ -320,18 +322,18 @@
 		return
 	}
 	deadline := time.Now()
-	if b.mu.TryLock() {
+	select {
+	case <-b.idle:
 		if !b.expectsContinue {
 			deadline = deadline.Add(discardTimeout)
 		}
-		b.mu.Unlock()
+		b.idle <- struct{}{}
+	default:
 	}
 	// Another goroutine may still be reading the body, which ends at the deadline.
 	_ = e.conn.raw.SetReadDeadline(deadline)
 	if deadline.After(time.Now()) {
 		_, _ = io.CopyN(io.Discard, b, maxDiscardedBody)
 	}
-	b.mu.Lock()
-	b.closed = true
-	b.mu.Unlock()
+	b.end()
 }
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -80,6 +80,8 @@
 	return s, nil
 }
 
+var _ Server = (*PipelineServer)(nil)
+
 func (s *PipelineServer) accept() {
 	delay := minAcceptDelay
 	for {
@@ -137,8 +139,8 @@
 	return list
 }
 
-// Shutdown stops accepting connections and requests, and waits until those that have
-// been read are answered. If ctx ends first, it closes their connections.
+// Shutdown implements Server. Requests that have been read are answered, and the last
+// response of each connection says that it is closed.
 func (s *PipelineServer) Shutdown(ctx context.Context) error {
 	err := s.listener.Close()
 	s.mu.Lock()
@@ -321,9 +323,14 @@
 // before that. Once further requests of the client fill the buffer, a client that
 // disconnects is no longer noticed.
 func (c *serverConn) watchUntil(done <-chan struct{}) error {
+	select {
+	case <-done:
+		return nil
+	default:
+	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
 	interrupted := make(chan struct{})
+	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(interrupted)
 		select {
@@ -332,7 +339,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	_ = c.raw.SetReadDeadline(time.Time{})
+	defer func() {
+		cancel()
+		<-interrupted
+		_ = c.raw.SetReadDeadline(time.Time{})
+	}()
 	for {
 		_, err := c.r.Peek(c.r.Buffered() + 1)
 		switch {
@@ -345,7 +356,6 @@
 			}
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			<-interrupted
 			return nil
 		default:
 			return fmt.Errorf("await answers: %w", err)
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -110,6 +110,7 @@
 	"last":     "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
 	"old":      "GET %s HTTP/1.0\r\n\r\n",
 	"post":     "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+	"upload":   "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("x", 300_000),
 	"chunked":  "POST %s HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nA: b\r\n\r\n",
 	"await":    "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n",
 	"halfpost": "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nhello",
--- a/internal/http1/request_body.go
+++ b/internal/http1/request_body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -16,9 +15,8 @@
 	src      io.Reader
 	// expectsContinue is set until the client has been asked for the body.
 	expectsContinue bool
-	// mu is held while the connection is read. It is not ranked, as no other lock is
-	// taken by those who hold it.
-	mu     sync.Mutex
+	// idle holds a value while no goroutine reads the connection.
+	idle   chan struct{}
 	closed bool
 	// whole is set once the whole body has been read, and ended is closed then.
 	whole atomic.Bool
@@ -27,8 +25,8 @@
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	<-b.idle
+	defer func() { b.idle <- struct{}{} }()
 	if b.closed {
 		return 0, http.ErrBodyReadAfterClose
 	}
@@ -47,6 +45,13 @@
 	return n, err //nolint:wrapcheck // readers compare io.EOF itself
 }
 
+// end makes later calls of Read fail.
+func (b *requestBody) end() {
+	<-b.idle
+	b.closed = true
+	b.idle <- struct{}{}
+}
+
 // Close implements io.Closer. The server closes the body itself.
 func (b *requestBody) Close() error { return nil }
 
--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -22,15 +22,23 @@
 	idleTimeout = 2 * time.Minute
 )
 
-// Server is an HTTP server on one address. Use Listen to create one.
-type Server struct {
+// Server is an HTTP server on one address.
+type Server interface {
+	// Shutdown stops accepting connections and waits for running requests to finish. If
+	// ctx ends first, it closes their connections.
+	Shutdown(ctx context.Context) error
+}
+
+// restServer is a server of go-zero.
+type restServer struct {
 	http *http.Server
 }
 
-// Listen starts a server for handler on an IP address and port and returns at once. The
-// server runs until Shutdown. name identifies it to go-zero. The error reports an invalid
+// Listen starts a server of go-zero for handler on an IP address and port and returns at
+// once. It is meant for clients that send no request before the last one has been
+// answered. The server runs until Shutdown. name identifies it to go-zero. The error reports an invalid
 // address or one that cannot be listened on.
-func Listen(name, address string, handler http.Handler) (*Server, error) {
+func Listen(name, address string, handler http.Handler) (Server, error) {
 	addr, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, fmt.Errorf("parse listen address %q: %w", address, err)
@@ -55,7 +63,7 @@
 		h.IdleTimeout = idleTimeout
 		started <- h
 	})
-	return &Server{http: <-started}, nil
+	return &restServer{http: <-started}, nil
 }
 
 // serverConfig disables all middleware of go-zero. The daemon itself implements
@@ -70,10 +78,8 @@
 	}
 }
 
-// Shutdown stops accepting connections and waits for running requests to finish. If
-// the deadline of ctx expires first, it closes their connections and returns nil if that
-// succeeds.
-func (s *Server) Shutdown(ctx context.Context) error {
+// Shutdown implements Server.
+func (s *restServer) Shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = s.http.Close()
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -135,7 +135,7 @@
 
 	backend *standin.Backend
 	daemon  *daemon.Daemon
-	servers []*http1.Server
+	servers []http1.Server
 }
 
 // Name returns the name of the slot.
@@ -293,15 +293,16 @@
 		return fmt.Errorf("start %s: %w", s.name, err)
 	}
 	s.daemon = d
-	callers, err := http1.Listen("caller", s.callerAddress, callerhttp.NewHandler(d))
+	onPanic := func(value any, stack []byte) { log.Error("panic", "value", fmt.Sprint(value), "stack", string(stack)) }
+	callers, err := http1.ListenPipelined(s.callerAddress, callerhttp.NewHandler(d), onPanic)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", s.name, err)
 	}
-	local, err := http1.Listen("local", s.localAddress, callerhttp.NewLocalHandler(d))
+	local, err := http1.ListenPipelined(s.localAddress, callerhttp.NewLocalHandler(d), onPanic)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", s.name, err)
 	}
-	s.servers = []*http1.Server{callers, local}
+	s.servers = []http1.Server{callers, local}
 	d.Start()
 	return nil
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -50,7 +50,7 @@
 	metrics         *metrics
 	out             *logs.Writer
 	events          *events
-	servers         []httpServer
+	servers         []http1.Server
 	cancel          context.CancelFunc
 	// stopping is set once Stop has been called.
 	stopping atomic.Bool
@@ -60,11 +60,6 @@
 	openRequests atomic.Int64
 }
 
-// httpServer is a server on one of the daemon's addresses.
-type httpServer interface {
-	Shutdown(ctx context.Context) error
-}
-
 // Platform adapts the daemon to a platform: to its header fields, its store and the
 // formats of the store's items.
 type Platform struct {
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -167,6 +167,16 @@
 	if hold != nil {
 		<-hold
 	}
+	if fault == "slow" {
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-r.Context().Done():
+			b.mu.Lock()
+			b.seen = append(b.seen, "cancelled "+r.RequestURI)
+			b.mu.Unlock()
+			return
+		}
+	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Upstream-Seal", "seal")
 	switch fault {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,11 +1,13 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,6 +72,9 @@
 	out      *logBuffer
 	// requests is the number of requests sent so far.
 	requests int
+	// conn is the connection on which a script sends several requests.
+	conn   net.Conn
+	reader *bufio.Reader
 	// stops waits for the daemons that are stopping.
 	stops sync.WaitGroup
 }
@@ -207,11 +212,33 @@
 		time.Sleep(d)
 	case "get", "post":
 		return f.request(args) + "\n"
+	case "open": // open m1: opens a connection for the commands send, receive and leave
+		c, err := net.Dial("tcp", addressOf(args[1], portOutbound))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.conn, f.reader = c, bufio.NewReader(c)
+	case "send": // send path [key]: sends a request without waiting for responses
+		f.requests++
+		key := callerKey
+		if len(args) > 2 {
+			key = args[2]
+		}
+		_, _ = fmt.Fprintf(f.conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 800\r\nAuthorization: Bearer %s\r\n\r\n",
+			args[1], f.requests, key)
+	case "receive":
+		return f.receive()
+	case "leave":
+		_ = f.conn.Close()
 	case "any": // any get|post ...: prints the status only
 		status, _, _ := strings.Cut(f.request(args[1:]), " ")
 		return status + "\n"
 	case "seen":
 		return f.drainSeen()
+	case "sorted": // as seen, but sorted
+		lines := strings.SplitAfter(f.drainSeen(), "\n")
+		slices.Sort(lines)
+		return strings.Join(lines, "")
 	case "most":
 		runs := 0
 		for _, b := range f.backends {
@@ -312,6 +339,25 @@
 	return formatted
 }
 
+// receive reads the next response on the connection.
+func (f *testFleet) receive() string {
+	_ = f.conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	resp, err := http.ReadResponse(f.reader, nil)
+	if err != nil {
+		return "no answer\n"
+	}
+	text, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		return "cut\n"
+	}
+	out := fmt.Sprintf("%s %d %s", resp.Header.Get("X-Request-Id"), resp.StatusCode, strings.TrimSpace(string(text)))
+	if resp.Close {
+		out += ", closes"
+	}
+	return strings.TrimSpace(out) + "\n"
+}
+
 func (f *testFleet) drainSeen() string {
 	var out strings.Builder
 	for n := range 9 {
