--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -22,11 +22,11 @@
 )
 
 // Resources of the process. The daemon shares its machine with the backend server, so
-// it uses few threads and collects garbage seldom, which saves CPU time but needs more
-// memory.
+// it uses few threads. Garbage is collected when the heap has grown by gcPercent: less often
+// needs more memory at the peak of a burst, more often CPU time that requests need then.
 const (
 	maxProcs         = 2
-	gcPercent        = 400
+	gcPercent        = 150
 	memoryLimitBytes = 96 << 20
 )
 
--- a/internal/http1/budget.go
+++ b/internal/http1/budget.go
@@ -27,6 +27,15 @@
 	return false
 }
 
+// bodyLimit returns the maximum size of one body, so that a single one cannot take the
+// whole budget.
+func (b *Budget) bodyLimit() int64 {
+	if b == nil {
+		return maxResponseBytes
+	}
+	return min(b.limit/2, maxResponseBytes)
+}
+
 // Release returns n bytes.
 func (b *Budget) Release(n int64) {
 	if b != nil {
--- /dev/null
+++ b/internal/http1/endless_test.go
@@ -0,0 +1,184 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/http1"
+)
+
+// endlessResponses are the beginning of a response and what follows it without end.
+var endlessResponses = map[string][2]string{
+	"status":  {"HTTP/1.1 200 ", "O"},
+	"line":    {"", "no response "},
+	"field":   {"HTTP/1.1 200 OK\r\nA: ", "a"},
+	"fields":  {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	"interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	"others":  {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"},
+	"rest":    {"HTTP/1.1 200 OK\r\nId: mine\r\n\r\n", "body "},
+	"chunks":  {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbody \r\n"},
+	"size":    {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	"trailer": {"HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	"length":  {"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 9000000000000000000\r\n\r\n", "body "},
+}
+
+// serveEndless answers each request with a response that does not end until the client
+// closes the connection.
+func serveEndless(t *testing.T, response [2]string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	more := []byte(strings.Repeat(response[1], 1+(16<<10)/len(response[1])))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := c.Write([]byte(response[0]))
+				for err == nil {
+					_, err = c.Write(more)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// watchHeap returns a function that stops watching and returns by how much the heap grew
+// at most.
+func watchHeap() func() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	base := m.HeapAlloc
+	var peak atomic.Uint64
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ticker := time.NewTicker(5 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				peak.Store(max(peak.Load(), m.HeapAlloc))
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		<-stopped
+		return max(peak.Load(), base) - base
+	}
+}
+
+// TestEndless sends requests to servers whose responses do not end. budget is the memory for
+// bodies and heap the most by which the heap may grow, both in MiB: the budget, its
+// garbage, and 1 MiB for each request at a time.
+func TestEndless(t *testing.T) {
+	datadriven.RunTest(t, "testdata/endless", func(t *testing.T, d *datadriven.TestData) string {
+		var clients, budgetMiB, heapMiB int
+		d.ScanArgs(t, "clients", &clients)
+		d.ScanArgs(t, "budget", &budgetMiB)
+		d.ScanArgs(t, "heap", &heapMiB)
+		var out strings.Builder
+		for kind := range strings.SplitSeq(d.Input, "\n") {
+			budget := http1.NewBudget(int64(budgetMiB) << 20)
+			c := http1.NewClient(serveEndless(t, endlessResponses[kind]), time.Second, clients).WithBudget(budget)
+			grown := watchHeap()
+			var failed atomic.Int32
+			var group sync.WaitGroup
+			for range clients {
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+					defer cancel()
+					if _, err := c.Do(ctx, newRequest("get")); errors.Is(err, http1.ErrResponseLost) && ctx.Err() == nil {
+						failed.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			peak := grown()
+			fmt.Fprintf(&out, "%s: %d of %d failed before the deadline, heap within the limit: %t, memory returned: %t\n",
+				kind, failed.Load(), clients, peak <= uint64(heapMiB)<<20, budget.Used() == 0)
+			if peak > uint64(heapMiB)<<20 {
+				t.Logf("%s: the heap grew by %d KiB", kind, peak>>10)
+			}
+		}
+		return out.String()
+	})
+}
+
+// TestEndlessRequest sends requests that do not end to a server.
+func TestEndlessRequest(t *testing.T) {
+	address := freeAddress(t)
+	budget := http1.NewBudget(4 << 20)
+	server, err := http1.ListenPipelined(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, lease, err := budget.ReadBody(r.Body, r.ContentLength, 1<<20)
+		defer lease.Release()
+		if errors.Is(err, http1.ErrBodyTooLarge) {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		}
+	}), func(any, []byte) {}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	}()
+	grown := watchHeap()
+	for _, request := range [][2]string{
+		{"GET /", "a"},
+		{"GET / HTTP/1.1\r\nHost: h\r\nA: ", "a"},
+		{"GET / HTTP/1.1\r\nHost: h\r\n", "A: b\r\n"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", "5\r\nbody \r\n"},
+		{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000000000000000\r\n\r\n", "body "},
+	} {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+		go func() {
+			_, err := c.Write([]byte(request[0]))
+			more := []byte(strings.Repeat(request[1], 1+(16<<10)/len(request[1])))
+			for err == nil {
+				_, err = c.Write(more)
+			}
+		}()
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode < http.StatusBadRequest || !resp.Close {
+			t.Errorf("%.40q: %v, %v", request[0], resp, err)
+		}
+		_ = c.Close()
+	}
+	// One body of 1 MiB, its garbage, and 1 MiB for the heads.
+	if peak := grown(); peak > 8<<20 {
+		t.Errorf("the heap grew by %d KiB", peak>>10)
+	}
+}
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -203,6 +203,10 @@
 // afterwards. It may be called more than once.
 func (r *Response) Release() { r.lease.Release() }
 
+// Lease returns the memory that the body takes from the client's budget, for callers that
+// keep the body and not the response.
+func (r *Response) Lease() *Lease { return r.lease }
+
 // Status returns the status code.
 func (r *Response) Status() int { return r.status }
 
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -134,10 +134,6 @@
 	datadriven.RunTest(t, "testdata/pipeline", func(t *testing.T, d *datadriven.TestData) string {
 		s := &pipelineScript{t: t, handler: &scriptedHandler{gates: make(map[string]chan struct{})}, address: freeAddress(t), stopped: make(chan struct{})}
 		var err error
-		s.server, err = http1.ListenPipelined(s.address, s.handler, func(v any, _ []byte) { s.handler.record("panic: %v", v) }, s.limits)
-		if err != nil {
-			t.Fatal(err)
-		}
 		if d.HasArg("idle") {
 			var idle time.Duration
 			var text string
@@ -147,6 +143,10 @@
 			}
 			s.idle = idle
 		}
+		s.server, err = http1.ListenPipelined(s.address, s.handler, func(v any, _ []byte) { s.handler.record("panic: %v", v) }, s.limits)
+		if err != nil {
+			t.Fatal(err)
+		}
 		s.connect()
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
--- a/internal/http1/read_body.go
+++ b/internal/http1/read_body.go
@@ -25,6 +25,14 @@
 	}
 }
 
+// Lease takes n bytes, or returns ErrBodyTooLarge if there are not that many.
+func (b *Budget) Lease(n int64) (*Lease, error) {
+	if !b.Reserve(n) {
+		return nil, fmt.Errorf("%w: no memory for %d bytes at present", ErrBodyTooLarge, n)
+	}
+	return &Lease{budget: b, bytes: n}, nil
+}
+
 // ReadBody reads a body of at most limit bytes. length is its declared size, or -1. The
 // memory is reserved as the body arrives, not as it is declared. The error is
 // ErrBodyTooLarge if the body exceeds the limit or the budget, and io.ErrUnexpectedEOF if
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -33,13 +33,15 @@
 // the queue admits them.
 type admission struct {
 	*fleetState
-	protocol   Protocol
-	pool       *workers.Pool
-	service    string
-	centre     string
-	address    fleet.Address
-	queue      *backend.Queue[*backend.SlotWindow]
-	client     *http1.Client
+	protocol Protocol
+	pool     *workers.Pool
+	service  string
+	centre   string
+	address  fleet.Address
+	queue    *backend.Queue[*backend.SlotWindow]
+	client   *http1.Client
+	// budget bounds the memory for bodies.
+	budget     *http1.Budget
 	quarantine *backend.Quarantine
 	// reportCrash notifies the other daemons of a request during which the backend
 	// server crashed.
@@ -168,7 +170,7 @@
 		a.status.mu.Lock()
 		a.status.tickTimer = nil
 		a.status.mu.Unlock()
-		a.scheduleTick(time.Now())
+		a.events.protect(func() { a.scheduleTick(time.Now()) })
 	})
 }
 
@@ -206,9 +208,12 @@
 // run sends an admitted request. The process may have been suspended while the request
 // was queued, so the instance, the context and the deadline are checked again.
 func (a *admission) run(ctx context.Context, req *request, decision queueDecision) *result {
-	if err := req.body.readRest(time.Now()); err != nil {
+	if err := req.body.readRest(time.Now(), a.budget); err != nil {
 		a.queue.Done(time.Now(), decision.entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "reading request body failed", req.id, "error", err.Error())
+		if errors.Is(err, http1.ErrBodyTooLarge) {
+			return notRun(caller.ReasonOverload)
+		}
 		return notRun(caller.ReasonCancelled)
 	}
 	now := time.Now()
@@ -265,11 +270,12 @@
 			r.reason = caller.ReasonNoBackend
 		}
 		r.delivered = true
+		resp.Release()
 		return r
 	}
 	a.queue.Done(now, entry, backend.Served)
 	a.quarantine.RecordAnswer(requestKey(req))
-	return &result{outcome: caller.OutcomeRan, delivered: true, status: resp.Status(), header: resp.Header(), body: resp.Body()}
+	return &result{outcome: caller.OutcomeRan, delivered: true, status: resp.Status(), header: resp.Header(), body: resp.Body(), lease: resp.Lease()}
 }
 
 // handleSendError derives the result of a request that got no response from the error.
@@ -292,7 +298,7 @@
 	a.queue.Done(now, entry, backend.Disconnected)
 	a.events.request(logs.Refusal, "response lost", req.id, "error", err.Error())
 	if !a.client.HasOpenConn() {
-		go a.checkCrash(req)
+		a.events.spawn(func() { a.checkCrash(req) })
 	}
 	return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, delivered: true}
 }
--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -160,10 +160,10 @@
 		return
 	}
 	a.setCold(now, now.Add(a.warmup()))
-	go func() {
+	a.events.spawn(func() {
 		defer a.checkingHealth.Store(false)
 		a.checkHealth()
-	}()
+	})
 }
 
 // checkHealth requests the backend server's health path and applies the remaining
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"encoding/binary"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/klauspost/compress/s2"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
@@ -13,35 +15,52 @@
 // compressionThreshold is the size in bytes from which control messages are compressed.
 const compressionThreshold = 4 << 10
 
-// The first byte of a control message is the encoding of the rest.
+// The first byte of a control message is the encoding of the message, which follows a
+// checksum of checksumBytes bytes.
 const (
-	encodingPlain byte = iota
+	encodingPlain byte = iota + 2
 	encodingS2
 )
 
-var errUnknownEncoding = eris.New("unknown encoding")
+const checksumBytes = 8
+
+var (
+	errUnknownEncoding = eris.New("unknown encoding")
+	errChecksum        = eris.New("wrong checksum")
+	errMessageTooLarge = eris.New("message too large")
+)
 
 func encodeControl(m *schema.Exchange) ([]byte, error) {
-	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{encodingPlain}, m)
+	data, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, 1+checksumBytes), m)
 	if err != nil {
 		return nil, fmt.Errorf("encode control message: %w", err)
 	}
-	if len(data) < compressionThreshold {
-		return data, nil
+	encoding, body := encodingPlain, data[1+checksumBytes:]
+	if len(body) >= compressionThreshold {
+		encoding, body = encodingS2, s2.EncodeBetter(nil, body)
+		data = append(data[:1+checksumBytes], body...)
 	}
-	return append([]byte{encodingS2}, s2.EncodeBetter(nil, data[1:])...), nil
+	data[0] = encoding
+	binary.LittleEndian.PutUint64(data[1:], xxhash.Sum64(body))
+	return data, nil
 }
 
+// decodeControl decodes a control message. The checksum rejects a message that was damaged
+// on the way, or sent by a daemon with another format: a wrong revision in it would keep
+// this daemon from following the store.
 func decodeControl(data []byte) (*schema.Exchange, error) {
-	if len(data) == 0 {
+	if len(data) < 1+checksumBytes {
 		return nil, fmt.Errorf("decode control message: %w", errUnknownEncoding)
 	}
-	body := data[1:]
+	body := data[1+checksumBytes:]
+	if binary.LittleEndian.Uint64(data[1:]) != xxhash.Sum64(body) {
+		return nil, fmt.Errorf("decode control message: %w", errChecksum)
+	}
 	switch data[0] {
 	case encodingPlain:
 	case encodingS2:
 		var err error
-		if body, err = s2.Decode(nil, body); err != nil {
+		if body, err = decompress(body); err != nil {
 			return nil, fmt.Errorf("decode control message: %w", err)
 		}
 	default:
@@ -53,3 +72,18 @@
 	}
 	return m, nil
 }
+
+func decompress(body []byte) ([]byte, error) {
+	n, err := s2.DecodedLen(body)
+	if err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
+	if n > maxMessageBytes {
+		return nil, fmt.Errorf("decompress: %w: %d bytes, limit %d", errMessageTooLarge, n, maxMessageBytes)
+	}
+	out, err := s2.Decode(nil, body)
+	if err != nil {
+		return nil, fmt.Errorf("decompress: %w", err)
+	}
+	return out, nil
+}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -28,6 +29,11 @@
 	workerQueueDepth = 4096
 	// sweepInterval is the time between two removals of expired state.
 	sweepInterval = 2 * time.Second
+	// bodyMemoryDivisor is the part of the machine's memory that the bodies of requests
+	// and responses may take at the same time, as a divisor. defaultMemory is used if
+	// the settings do not state the memory.
+	bodyMemoryDivisor = 8
+	defaultMemory     = 128 << 20
 )
 
 // Daemon is the sidecar process of one backend server. Use New to create one.
@@ -52,6 +58,8 @@
 	events          *events
 	servers         []http1.Server
 	cancel          context.CancelFunc
+	// budget bounds the memory for bodies.
+	budget *http1.Budget
 	// stopping is set once Stop has been called.
 	stopping atomic.Bool
 	// refusing is set once the daemon accepts no more requests from callers.
@@ -91,6 +99,8 @@
 		return nil, fmt.Errorf("parse control address: %w", err)
 	}
 	now := time.Now()
+	memory := cmp.Or(s.GetMemory(), defaultMemory)
+	budget := http1.NewBudget(memory / bodyMemoryDivisor)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
 		settings: s,
@@ -98,8 +108,9 @@
 		metrics:  newMetrics(),
 		out:      out,
 		events:   newEvents(out, s.GetName(), s.GetCentre()),
-		peers:    newPeerClients(inboundAddr.Port(), controlAddr.Port()),
+		peers:    newPeerClients(inboundAddr.Port(), controlAddr.Port(), budget),
 		cancel:   cancel,
+		budget:   budget,
 	}
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
@@ -173,6 +184,7 @@
 		metrics:    d.metrics,
 		stopping:   d.stopping.Load,
 		refusing:   d.refusing.Load,
+		budget:     budget,
 	}
 	d.inbound = &inbound{admission: d.admission}
 	d.state.onChange = d.storeChanged
@@ -189,7 +201,8 @@
 		centre:     d.settings.GetCentre(),
 		address:    address,
 		queue:      backend.NewQueue(backend.NewSlotWindow(initialSlots), backend.NewRateLimiter(bounds.GetColdOver(), bounds.GetColdSlack())),
-		client:     http1.NewClient(address.String(), backendDialTimeout, maxIdleBackendConns),
+		client:     http1.NewClient(address.String(), backendDialTimeout, maxIdleBackendConns).WithBudget(d.budget),
+		budget:     d.budget,
 		quarantine: backend.NewQuarantine(),
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 	}
@@ -212,12 +225,12 @@
 	if d.limiter.membership.Load() == nil {
 		// At the first change, contact the other daemons of the data centre. If an earlier
 		// process announced that it stops, they may still treat this daemon as leaving.
-		defer func() { go d.gossiper.syncCentre() }()
+		defer d.events.spawn(d.gossiper.syncCentre)
 	}
 	d.admission.refreshStatus(now)
 	d.gossiper.otherHosts() // updates daemonCount
 	d.limiter.updateMembership(now)
-	go d.gossiper.propagate()
+	d.events.spawn(d.gossiper.propagate)
 }
 
 // Start listens on the daemon's addresses and starts the background tasks, which run
@@ -231,7 +244,6 @@
 		name, address string
 		handler       http.Handler
 	}{
-		{"control", s.GetControl(), control},
 		{"ready", s.GetReady(), http.HandlerFunc(d.serveReady)},
 	} {
 		server, err := http1.Listen(l.name, l.address, l.handler)
@@ -245,6 +257,7 @@
 		handler       http.Handler
 		limits        func() http1.ConnLimits
 	}{
+		{"control", s.GetControl(), control, nil},
 		{"inbound", s.GetInbound(), d.inbound, nil},
 		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits},
 	} {
@@ -254,11 +267,12 @@
 		}
 		d.servers = append(d.servers, server)
 	}
-	go d.watcher.run(d.gossiper.ctx)
-	go d.gossiper.run()
-	go d.gossiper.runHeartbeats()
-	go d.limiter.reportDemand()
-	go d.sweep()
+	ctx := d.gossiper.ctx
+	d.events.spawnLoop(ctx, func() { d.watcher.run(ctx) })
+	d.events.spawnLoop(ctx, d.gossiper.run)
+	d.events.spawnLoop(ctx, d.gossiper.runHeartbeats)
+	d.events.spawnLoop(ctx, d.limiter.reportDemand)
+	d.events.spawnLoop(ctx, d.sweep)
 	d.events.stateChange("start", "service", s.GetService(), "backend", s.GetBackend(), "store", s.GetStore())
 	return nil
 }
@@ -323,6 +337,8 @@
 	d.metrics.gauge("copy_age_seconds", d.state.age(now).Seconds())
 	d.metrics.gauge("copy_revision", float64(d.state.replica.Revision()))
 	d.metrics.gauge("instances", float64(d.state.fleet.Size()))
+	d.metrics.gauge("body_bytes", float64(d.budget.Used()))
+	d.metrics.gauge("body_bytes_refused", float64(d.budget.Rejected()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
 	if cfg := d.state.config.Load(); cfg != nil {
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
+	"runtime/debug"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -40,6 +43,37 @@
 	e.stateChange("panic", "value", fmt.Sprint(value), "stack", string(stack))
 }
 
+// spawn runs a task in a new goroutine. If it panics, that is logged and the process
+// continues.
+func (e *events) spawn(task func()) {
+	go e.protect(task)
+}
+
+// protect runs a task and reports whether it returned without a panic.
+func (e *events) protect(task func()) (ok bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			e.panicked(v, debug.Stack())
+			ok = false
+		}
+	}()
+	task()
+	return true
+}
+
+// restartDelay is the time until a background task that panicked is started again.
+const restartDelay = time.Second
+
+// spawnLoop runs a task that lasts until ctx ends in a new goroutine, and starts it again
+// if it panics.
+func (e *events) spawnLoop(ctx context.Context, task func()) {
+	go func() {
+		for !e.protect(task) && ctx.Err() == nil {
+			sleep(ctx, restartDelay)
+		}
+	}()
+}
+
 // request logs a decision on a request.
 func (e *events) request(class logs.Class, text, id string, args ...any) {
 	if !e.out.Allow(class) {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -74,7 +74,7 @@
 	}
 	g.limiter.applyLeases(now, m.GetShares())
 	if ip := m.GetUnreached(); ip != "" && ip != g.self {
-		go g.detector.checkReachable(ip)
+		g.events.spawn(func() { g.detector.checkReachable(ip) })
 	}
 	return m.GetRevision() < g.replica.Revision()
 }
--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -54,7 +54,7 @@
 		return false
 	}
 	d.events.stateChange("daemon unreachable", "ip", ip)
-	go d.pingUntilReachable(ip)
+	d.events.spawn(func() { d.pingUntilReachable(ip) })
 	return true
 }
 
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"fmt"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +63,7 @@
 
 func (s *fleetState) applyItems(now time.Time, changed []replica.Item) {
 	for _, i := range changed {
-		c, err := s.decoder.Decode(i)
+		c, err := s.decode(i)
 		if err != nil {
 			s.events.stateChange("store item rejected", "key", i.Key(), "revision", i.Revision(), "bytes", len(i.Value()), "error", err.Error())
 			s.rejectedItems.Add(1)
@@ -75,6 +77,18 @@
 	}
 }
 
+// decode decodes an item. A decoder that panics rejects the item, since the replica already
+// contains it and the items after it have to be applied.
+func (s *fleetState) decode(i replica.Item) (c Change, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			s.events.panicked(v, debug.Stack())
+			err = fmt.Errorf("decoder panicked: %v", v)
+		}
+	}()
+	return s.decoder.Decode(i) //nolint:wrapcheck // logged with the item
+}
+
 func (c configChange) apply(_ time.Time, s *fleetState) {
 	old := s.config.Load()
 	if old != nil && old.Version() >= c.config.Version() {
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -79,10 +79,14 @@
 
 // ServeHTTP answers control messages of other daemons.
 func (g *gossiper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes))
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxMessageBytes+1))
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if len(data) > maxMessageBytes {
+		http.Error(w, "control message too large", http.StatusRequestEntityTooLarge)
+		return
+	}
 	m, err := decodeControl(data)
 	if err != nil {
 		http.Error(w, "not a control message", http.StatusBadRequest)
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -38,7 +38,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	req.body = b
-	reply(w, in.admission.serve(r.Context(), req, hop.GetInstance(), !hop.GetFinal()))
+	defer func() { req.body.lease.Release() }()
+	result := in.admission.serve(r.Context(), req, hop.GetInstance(), !hop.GetFinal())
+	defer result.lease.Release()
+	reply(w, result)
 }
 
 // bodyReadTimeout bounds how long an admitted request waits for its body.
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
@@ -46,6 +48,8 @@
 	limiter  *rateLimiter
 	sender   *sender
 	metrics  *metrics
+	// budget bounds the memory for bodies.
+	budget *http1.Budget
 	// stopping reports whether connections are closed after their current request, and
 	// refusing whether new requests are refused.
 	stopping, refusing func() bool
@@ -66,6 +70,8 @@
 	begin := time.Now()
 	meta := in.protocol.RequestMetadata(r.Header)
 	decision, resp := in.handle(r, meta, begin)
+	defer resp.lease.Release()
+	defer func() { decision.request.body.lease.Release() }()
 	if in.stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -97,7 +103,10 @@
 	if limit := cfg.Limits().MaxBodyBytes(); limit > 0 && r.ContentLength > limit {
 		return decision, refusedResponse(caller.ReasonTooLarge, 0)
 	}
-	b, err := readBody(r)
+	b, err := in.readBody(r)
+	if errors.Is(err, http1.ErrBodyTooLarge) {
+		return decision, refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+	}
 	if err != nil {
 		return decision, refusedResponse(caller.ReasonBadRequest, 0)
 	}
@@ -171,16 +180,34 @@
 
 // readBody buffers a body of up to maxBufferedBody bytes. The rest of a larger one is
 // streamed.
-func readBody(r *http.Request) (body, error) {
+func (in *ingress) readBody(r *http.Request) (body, error) {
 	if r.ContentLength == 0 {
 		return body{}, nil
 	}
 	if r.ContentLength > maxBufferedBody {
 		return body{rest: r.Body, length: r.ContentLength}, nil
 	}
+	size := r.ContentLength
+	if size < 0 {
+		size = maxBufferedBody
+	}
+	lease, err := in.budget.Lease(size)
+	if err != nil {
+		return body{}, err //nolint:wrapcheck // only compared
+	}
+	b, err := readPrefix(r)
+	if err != nil {
+		lease.Release()
+		return body{}, err
+	}
+	b.lease = lease
+	return b, nil
+}
+
+func readPrefix(r *http.Request) (body, error) {
 	prefix, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedBody+1))
 	if err != nil {
-		return body{}, err //nolint:wrapcheck // only compared with nil
+		return body{}, err //nolint:wrapcheck // only compared
 	}
 	if len(prefix) > maxBufferedBody {
 		return body{prefix: prefix, rest: r.Body, length: -1}, nil
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -38,14 +38,17 @@
 // daemons use the same ports.
 type peerClients struct {
 	inboundPort, controlPort uint16
-	requestClients           *table.Table[string, *http1.Client]
-	controlClients           *table.Table[string, *http1.Client]
+	// budget bounds the memory for the bodies of responses.
+	budget         *http1.Budget
+	requestClients *table.Table[string, *http1.Client]
+	controlClients *table.Table[string, *http1.Client]
 }
 
-func newPeerClients(inbound, control uint16) *peerClients {
+func newPeerClients(inbound, control uint16, budget *http1.Budget) *peerClients {
 	return &peerClients{
 		inboundPort:    inbound,
 		controlPort:    control,
+		budget:         budget,
 		requestClients: table.New[string, *http1.Client](lock.Peers),
 		controlClients: table.New[string, *http1.Client](lock.Peers),
 	}
@@ -53,14 +56,14 @@
 
 // client returns the client for forwarding requests to a daemon.
 func (p *peerClients) client(ip string) *http1.Client {
-	return clientFor(p.requestClients, ip, p.inboundPort)
+	return p.clientFor(p.requestClients, ip, p.inboundPort)
 }
 
-func clientFor(t *table.Table[string, *http1.Client], ip string, port uint16) *http1.Client {
+func (p *peerClients) clientFor(t *table.Table[string, *http1.Client], ip string, port uint16) *http1.Client {
 	var c *http1.Client
 	t.Update(ip, func(old *http1.Client, ok bool) (*http1.Client, bool) {
 		if !ok {
-			old = http1.NewClient(net.JoinHostPort(ip, strconv.Itoa(int(port))), peerDialTimeout, maxIdlePeerConnections)
+			old = http1.NewClient(net.JoinHostPort(ip, strconv.Itoa(int(port))), peerDialTimeout, maxIdlePeerConnections).WithBudget(p.budget)
 		}
 		c = old
 		return old, true
@@ -78,8 +81,11 @@
 	defer cancel()
 	req := http1.NewRequest(http.MethodPost, controlPath, ip, http.Header{})
 	req.SetBody(data, nil, int64(len(data)))
-	c := clientFor(p.controlClients, ip, p.controlPort)
+	c := p.clientFor(p.controlClients, ip, p.controlPort)
 	resp, err := c.Do(ctx, req)
+	if err == nil {
+		defer resp.Release()
+	}
 	if err != nil {
 		// The other connections to the daemon may have stalled as well.
 		c.CloseIdle()
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -82,7 +82,7 @@
 	}
 	time.AfterFunc(secondaryDelay, func() {
 		g.syncPending.Store(false)
-		sync()
+		g.events.protect(sync)
 	})
 }
 
@@ -170,7 +170,7 @@
 		return
 	}
 	p.revisionKnown = p.revisionKnown && requested.targetRevision > 0
-	go g.pushLoop(ip, p)
+	g.events.spawn(func() { g.pushLoop(ip, p) })
 }
 
 // pushLoop sends to a daemon until it has reached the target revision or a push has
@@ -242,11 +242,11 @@
 			Customer:    proto.String(key.Customer()),
 			Fingerprint: proto.Uint64(key.Fingerprint()),
 		}.Build()})
-		go func() {
+		g.events.spawn(func() {
 			if _, err := g.peers.exchange(g.ctx, h.IP(), controlTimeout, m); err != nil {
 				g.events.stateChange("crash report not delivered", "ip", h.IP(), "error", err.Error())
 			}
-		}()
+		})
 	}
 }
 
@@ -259,11 +259,11 @@
 		}
 		m := g.newMessage()
 		m.SetUnreached(ip)
-		go func() {
+		g.events.spawn(func() {
 			if _, err := g.peers.exchange(g.ctx, to, controlTimeout, m); err != nil {
 				g.events.stateChange("unreachable report not delivered", "of", ip, "to", to, "error", err.Error())
 			}
-		}()
+		})
 	}
 }
 
--- a/internal/sidecar/rate_limiter.go
+++ b/internal/sidecar/rate_limiter.go
@@ -215,7 +215,7 @@
 	t := l.tokenCache.Take(now, name)
 	switch {
 	case t.OK() && t.FetchCount() > 0:
-		go l.prefetch(name, t.FetchCount())
+		l.events.spawn(func() { l.prefetch(name, t.FetchCount()) })
 		return caller.ReasonNone, 0
 	case t.OK():
 		return caller.ReasonNone, 0
@@ -320,7 +320,7 @@
 	answer, err := l.peers.exchange(ctx, daemon, timeout, m)
 	if err != nil {
 		if ctx.Err() == nil {
-			go l.detector.checkReachable(daemon)
+			l.events.spawn(func() { l.detector.checkReachable(daemon) })
 		}
 		return nil, err //nolint:wrapcheck // the caller logs what was requested
 	}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
@@ -44,6 +45,8 @@
 	rest io.Reader
 	// length is the length of the whole body, or -1 if it is not known.
 	length int64
+	// lease is the memory that the prefix takes from the budget.
+	lease *http1.Lease
 	// setReadDeadline, if set, limits the time until which rest can be read. The zero
 	// time removes the limit.
 	setReadDeadline func(until time.Time) error
@@ -52,10 +55,15 @@
 // readRest reads the rest of a body that is small enough to be buffered. The sender may
 // disconnect before it has sent the whole body, and a truncated one must not be sent to a
 // backend server.
-func (b *body) readRest(now time.Time) error {
+func (b *body) readRest(now time.Time, budget *http1.Budget) error {
 	if b.replayable() || b.length < 0 || b.length > maxBufferedBody {
 		return nil
 	}
+	lease, err := budget.Lease(b.length)
+	if err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	b.lease = lease
 	if b.setReadDeadline != nil {
 		if err := b.setReadDeadline(now.Add(bodyReadTimeout)); err != nil {
 			return err
@@ -85,9 +93,11 @@
 	// daemonUnreachable indicates that the daemon of the instance did not answer.
 	daemonUnreachable bool
 
-	status     int
-	header     http.Header
-	body       []byte
+	status int
+	header http.Header
+	body   []byte
+	// lease is the memory that the body takes from the budget.
+	lease      *http1.Lease
 	load       upstream.LoadReport
 	retryAfter time.Duration
 	// waited is the time that the request spent in the queue of the instance's daemon.
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -130,7 +130,7 @@
 	}
 	s.balancer.Done(time.Now(), i.ID(), req.upstreamRequest(), attemptResult(r), r.load)
 	if r.daemonUnreachable {
-		go s.detector.reportFailure(i.Address().Host())
+		s.events.spawn(func() { s.detector.reportFailure(i.Address().Host()) })
 	}
 	if r.hasResponse() {
 		s.balancer.RecordResponseSize(req.upstreamRequest(), len(r.body))
@@ -160,7 +160,7 @@
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	pingTimer := time.AfterFunc(daemonPingDelay, func() { s.pingDaemon(ctx, ip, cancel) })
+	pingTimer := time.AfterFunc(daemonPingDelay, func() { s.events.protect(func() { s.pingDaemon(ctx, ip, cancel) }) })
 	defer pingTimer.Stop()
 	if !req.body.replayable() || len(req.body.prefix) > maxInlineBody || req.atMostOnce {
 		httpReq.SetExpectContinue()
@@ -177,10 +177,15 @@
 	}
 	report := &schema.HopReport{}
 	if err := extractMessage(resp.Header(), reportHeader, report); err != nil {
+		resp.Release()
 		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost}
 	}
 	r := decodeReport(report)
-	r.status, r.header, r.body = resp.Status(), resp.Header(), resp.Body()
+	if !r.hasResponse() {
+		resp.Release()
+		return r
+	}
+	r.status, r.header, r.body, r.lease = resp.Status(), resp.Header(), resp.Body(), resp.Lease()
 	return r
 }
 
@@ -218,6 +223,9 @@
 	state.Record(instance, r.attempt())
 	state.last = r
 	if r.outcome == caller.OutcomeRan {
+		if state.failedResponse != nil {
+			state.failedResponse.lease.Release()
+		}
 		state.failedResponse = r
 	}
 	if r.instance == "" {
--- a/pkg/workers/workers.go
+++ b/pkg/workers/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 
@@ -61,16 +62,57 @@
 	abandoned
 )
 
+// Panic is the value with which Do panics if the decision panicked.
+type Panic struct {
+	value any
+	stack []byte
+}
+
+// Value returns the value with which the decision panicked.
+func (p Panic) Value() any { return p.value }
+
+// Stack returns the stack trace of the decision.
+func (p Panic) Stack() []byte { return p.stack }
+
+// String describes the panic.
+func (p Panic) String() string { return fmt.Sprintf("decision panicked: %v\n%s", p.value, p.stack) }
+
+// outcome is the result of a decision, or its panic.
+type outcome[T any] struct {
+	value    T
+	panicked *Panic
+}
+
+// run calls decide and recovers from a panic, which would otherwise end the process.
+func run[T any](decide func() T) (o outcome[T]) {
+	defer func() {
+		if v := recover(); v != nil {
+			o.panicked = &Panic{value: v, stack: debug.Stack()}
+		}
+	}()
+	o.value = decide()
+	return o
+}
+
+// result returns the value, or panics in the goroutine that asked for the decision.
+func (o outcome[T]) result() T {
+	if o.panicked != nil {
+		panic(*o.panicked)
+	}
+	return o.value
+}
+
 // Do runs decide on a worker of p and returns its result. If it returns an error,
 // decide has not run and will not run; the error wraps the cause of ctx or ErrClosed.
-// If ctx ends while decide runs, Do waits for the result and returns it. decide must
-// neither block nor call Do on the same pool.
+// If ctx ends while decide runs, Do waits for the result and returns it. If decide panics,
+// Do panics with a value of type Panic, and the worker continues. decide must neither block
+// nor call Do on the same pool.
 func Do[T any](ctx context.Context, p *Pool, decide func() T) (T, error) {
 	var state atomic.Int32
-	done := make(chan T, 1)
+	done := make(chan outcome[T], 1)
 	task := func() {
 		if state.CompareAndSwap(queued, started) {
-			done <- decide()
+			done <- run(decide)
 		}
 	}
 	var zero T
@@ -82,8 +124,8 @@
 		return zero, fmt.Errorf("wait for a worker: %w", ErrClosed)
 	}
 	select {
-	case v := <-done:
-		return v, nil
+	case o := <-done:
+		return o.result(), nil
 	case <-ctx.Done():
 		return abandon(&state, done, context.Cause(ctx))
 	case <-p.closed:
@@ -93,10 +135,11 @@
 
 // abandon abandons the task unless a worker has started it. It waits for a decision
 // that has been started, so that its result is never lost.
-func abandon[T any](state *atomic.Int32, done <-chan T, cause error) (T, error) {
+func abandon[T any](state *atomic.Int32, done <-chan outcome[T], cause error) (T, error) {
 	if state.CompareAndSwap(queued, abandoned) {
 		var zero T
 		return zero, fmt.Errorf("wait for a worker: %w", cause)
 	}
-	return <-done, nil
+	o := <-done
+	return o.result(), nil
 }
--- a/pkg/workers/workers_test.go
+++ b/pkg/workers/workers_test.go
@@ -67,6 +67,25 @@
 		errors.Is(err, workers.ErrClosed), errors.Is(err, context.DeadlineExceeded), ran)
 }
 
+// TestPanic checks that a decision that panics does so in the goroutine that asked for it,
+// and that the worker continues.
+func TestPanic(t *testing.T) {
+	p := workers.New(1, 0)
+	defer p.Close()
+	func() {
+		defer func() {
+			v, ok := recover().(workers.Panic)
+			if !ok || v.Value() != "broken" || len(v.Stack()) == 0 {
+				t.Errorf("recovered %v", v)
+			}
+		}()
+		_, _ = workers.Do(t.Context(), p, func() int { panic("broken") })
+	}()
+	if v, err := workers.Do(t.Context(), p, func() int { return 7 }); v != 7 || err != nil {
+		t.Errorf("next decision: %d, %v", v, err)
+	}
+}
+
 func ExampleDo() {
 	pool := workers.New(2, 16)
 	defer pool.Close()
