--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -128,16 +128,13 @@
 // gossipOnce syncs with one random daemon of any data centre, or with a seed if no
 // other daemon is known.
 func (g *gossiper) gossipOnce() {
-	seeds := *g.seeds.Load()
-	targets := make([]string, 0, len(seeds))
-	for _, h := range g.otherHosts() {
-		targets = append(targets, h.IP())
-	}
-	if len(targets) == 0 {
-		targets = seeds
+	if hosts := g.otherHosts(); len(hosts) > 0 {
+		h := hosts[rand.IntN(len(hosts))] //nolint:gosec // not security-relevant
+		g.syncOnce(h.IP(), h.Centre() != g.centre)
+		return
 	}
-	if len(targets) > 0 {
-		g.syncOnce(targets[rand.IntN(len(targets))]) //nolint:gosec // not security-relevant
+	if seeds := *g.seeds.Load(); len(seeds) > 0 {
+		g.syncOnce(seeds[rand.IntN(len(seeds))], false) //nolint:gosec // not security-relevant
 	}
 }
 
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -37,6 +37,10 @@
 	// maxPushRounds bounds the number of consecutive messages with missing
 	// changes that are sent to one daemon.
 	maxPushRounds = 4
+	// outdatedAge is the age from which a replica lacks changes because its data centre
+	// does not get them from the store, and not because they are still on their way. It
+	// leaves time to get them from another data centre before they have to be in force.
+	outdatedAge = 1200 * time.Millisecond
 	// maxPushFailures is the number of consecutive failed pushes after which a
 	// daemon is assumed to have stopped if its instance is no longer published.
 	maxPushFailures = 2
@@ -57,6 +61,9 @@
 	// targetRevision is the revision up to which the daemon has to be updated.
 	targetRevision uint64
 	inProgress     bool
+	// remote indicates that the daemon is in another data centre, which reads the store
+	// itself. Items are exchanged only if the replica that lacks them is outdated.
+	remote bool
 	// failures is the number of failed pushes since the last successful one.
 	failures int
 }
@@ -196,9 +203,10 @@
 	}
 }
 
-// syncOnce compares revisions with a daemon and sends it the changes that it lacks.
-func (g *gossiper) syncOnce(ip string) {
-	if _, err := g.syncPeer(ip, pushState{}, 1); err != nil {
+// syncOnce compares revisions with a daemon and sends it the changes that it lacks. remote
+// states that the daemon is in another data centre.
+func (g *gossiper) syncOnce(ip string, remote bool) {
+	if _, err := g.syncPeer(ip, pushState{remote: remote}, 1); err != nil {
 		g.events.stateChange("sync with daemon failed", "ip", ip, "error", err.Error())
 	}
 }
@@ -214,7 +222,7 @@
 		if p.revisionKnown {
 			g.attachChanges(m, p.revision)
 		} else {
-			m.SetWant(true)
+			m.SetWant(!p.remote || g.reportedAge(time.Now()) > outdatedAge)
 			timeout = controlTimeout
 		}
 		answer, err := g.peers.exchange(g.ctx, ip, timeout, m)
@@ -224,7 +232,8 @@
 			}
 			continue
 		}
-		if !g.receive(time.Now(), answer) {
+		behind := g.receive(time.Now(), answer)
+		if !behind || p.remote && time.Duration(answer.GetAge())*time.Microsecond <= outdatedAge {
 			return answer.GetRevision(), nil
 		}
 		p.revision, p.revisionKnown = answer.GetRevision(), true
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -17,9 +17,13 @@
 )
 
 const (
-	// daemonPingDelay is the time without a response after which the daemon that a
-	// request was sent to is pinged. It is longer than most requests run.
-	daemonPingDelay = 150 * time.Millisecond
+	// minPingDelay and maxPingDelay bound the time without a response after which the
+	// daemon that a request was sent to is pinged. In between it is pingLatencyFactor
+	// times the latency that was expected there, so that few requests lead to a ping
+	// although the daemon answers.
+	minPingDelay      = 150 * time.Millisecond
+	maxPingDelay      = 600 * time.Millisecond
+	pingLatencyFactor = 1.5
 	// retryAfterJitter is the largest fraction by which a Retry-After value is
 	// lengthened at random.
 	retryAfterJitter = 0.5
@@ -126,7 +130,7 @@
 	if i.Address().Host() == s.self {
 		r = s.admission.serve(ctx, req, i.ID(), redirectable)
 	} else {
-		r = s.sendRemote(ctx, req, i.Address().Host(), i.ID(), redirectable)
+		r = s.sendRemote(ctx, req, placement, redirectable)
 	}
 	s.balancer.Done(time.Now(), i.ID(), req.upstreamRequest(), attemptResult(r), r.load)
 	if r.daemonUnreachable {
@@ -150,7 +154,8 @@
 }
 
 // sendRemote sends a request to the daemon of an instance on another machine.
-func (s *sender) sendRemote(ctx context.Context, req *request, ip string, instance string, redirectable bool) *result {
+func (s *sender) sendRemote(ctx context.Context, req *request, placement upstream.Placement, redirectable bool) *result {
+	ip, instance := placement.Instance().Address().Host(), placement.Instance().ID()
 	h := req.header.Clone()
 	if err := setMessage(h, hopHeader, encodeHop(req, instance, time.Now(), redirectable)); err != nil {
 		s.events.request(logs.Refusal, "encoding hop header failed", req.id, "error", err.Error())
@@ -160,7 +165,7 @@
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	pingTimer := time.AfterFunc(daemonPingDelay, func() { s.events.protect(func() { s.pingDaemon(ctx, ip, cancel) }) })
+	pingTimer := time.AfterFunc(pingDelay(placement.ExpectedLatency()), func() { s.events.protect(func() { s.pingDaemon(ctx, ip, cancel) }) })
 	defer pingTimer.Stop()
 	if !req.body.replayable() || len(req.body.prefix) > maxInlineBody || req.atMostOnce {
 		httpReq.SetExpectContinue()
@@ -189,6 +194,11 @@
 	return r
 }
 
+// pingDelay returns the time without a response after which a daemon is pinged.
+func pingDelay(expected time.Duration) time.Duration {
+	return min(max(time.Duration(pingLatencyFactor*float64(expected)), minPingDelay), maxPingDelay)
+}
+
 // pingDaemon pings a daemon that has not responded to a request yet, and cancels the
 // request if two pings fail.
 func (s *sender) pingDaemon(ctx context.Context, ip string, cancel context.CancelCauseFunc) {
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -59,6 +59,11 @@
 	now := time.Now()
 	sleep(ctx, processingDelay)
 	out := to.gossiper.handle(now, in)
+	if to.centre != node.centre {
+		node.net.mu.Lock()
+		node.net.crossed += len(in.GetItems()) + len(out.GetItems())
+		node.net.mu.Unlock()
+	}
 	sleep(ctx, messageDelay)
 	return out, ctx.Err()
 }
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -84,6 +84,8 @@
 	store           *testStore
 	// centres is the number of data centres.
 	centres int
+	// crossed is the number of store items in messages between data centres.
+	crossed int
 	// admittedAt holds the times of the requests that were within the
 	// customer's limit.
 	admittedAt []time.Time
@@ -204,6 +206,19 @@
 		return n.checkLimit()
 	case "calls":
 		return n.store.checkCalls(t, step[1])
+	case "crossed": // crossed N: at most N items crossed between data centres since the last time
+		limit, err := strconv.Atoi(step[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		crossed := n.crossed
+		n.crossed = 0
+		if crossed > limit {
+			return fmt.Sprintf("%d items", crossed)
+		}
+		return "within the bound"
 	case "aged":
 		return n.checkAge(maxDelay)
 	default:
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -21,10 +21,14 @@
 	// watch may wait.
 	storeTimeout = 1200 * time.Millisecond
 	// primaryWatchPause and secondaryWatchPause are the times between two
-	// watches of the first reader and of the other readers. They reduce the
-	// number of calls when changes follow each other quickly.
+	// watches of the first reader and of the other readers.
 	primaryWatchPause   = 100 * time.Millisecond
 	secondaryWatchPause = 500 * time.Millisecond
+	// busyPause is added to these times while changes follow each other quickly, which
+	// is the case if a watch returned changes within busyWatch. It reduces the number of
+	// calls. A change still reaches all daemons well before it has to be in force.
+	busyPause = 250 * time.Millisecond
+	busyWatch = 300 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the time between two attempts to
 	// read an unavailable store.
 	minRetryDelay = 150 * time.Millisecond
@@ -182,6 +186,7 @@
 		w.events.stateChange("watching store", "revision", w.replica.Revision())
 	}
 	for ctx.Err() == nil && w.shouldRead(time.Now()) {
+		begin := time.Now()
 		err := w.watch(ctx)
 		if errors.Is(err, ErrCompacted) {
 			w.events.stateChange("store history compacted, listing all items", "revision", w.replica.Revision())
@@ -190,19 +195,22 @@
 		if err != nil {
 			return err
 		}
-		w.pauseBetweenWatches(ctx)
+		w.pauseBetweenWatches(ctx, time.Since(begin))
 	}
 	return nil
 }
 
 // pauseBetweenWatches waits before the next watch, so that one watch returns several
-// changes that follow each other quickly.
-func (w *storeWatcher) pauseBetweenWatches(ctx context.Context) {
+// changes that follow each other quickly. watched is the duration of the last one.
+func (w *storeWatcher) pauseBetweenWatches(ctx context.Context, watched time.Duration) {
+	pause := secondaryWatchPause
 	if w.readerRank() == 0 {
-		sleep(ctx, primaryWatchPause)
-		return
+		pause = primaryWatchPause
+	}
+	if watched < busyWatch {
+		pause += busyPause
 	}
-	sleep(ctx, secondaryWatchPause)
+	sleep(ctx, pause)
 }
 
 // list reads all items under the prefixes. Unless current is set, they may be some
