--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -35,7 +35,7 @@
 	http1.DelaySignalShutdown(2 * s.GetBounds().GetGrace().AsDuration())
 	limitResources()
 	store := platform.NewStore(s.GetStore())
-	p := sidecar.NewPlatform(platform.Headers{}, store, platform.Decoder{}, platform.OperatorPrefix, platform.InstancePrefix)
+	p := sidecar.NewPlatform(platform.Headers{}, store, platform.NewDecoder(), platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, logs.NewWriter(os.Stdout), firstStart)
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -36,7 +36,7 @@
 		return nil, fmt.Errorf("encode control message: %w", err)
 	}
 	encoding, body := encodingPlain, data[1+checksumBytes:]
-	if len(body) >= compressionThreshold {
+	if len(body) >= compressionThreshold && !m.HasPacked() {
 		encoding, body = encodingS2, s2.EncodeBetter(nil, body)
 		data = append(data[:1+checksumBytes], body...)
 	}
@@ -70,9 +70,39 @@
 	if err := proto.Unmarshal(body, m); err != nil {
 		return nil, fmt.Errorf("decode control message: %w", err)
 	}
+	if err := unpackItems(m); err != nil {
+		return nil, fmt.Errorf("decode control message: %w", err)
+	}
 	return m, nil
 }
 
+// packItems returns the items as a compressed message.
+func packItems(items []*schema.Item) ([]byte, error) {
+	data, err := proto.Marshal(schema.Items_builder{Items: items}.Build())
+	if err != nil {
+		return nil, fmt.Errorf("pack items: %w", err)
+	}
+	return s2.EncodeBetter(nil, data), nil
+}
+
+// unpackItems replaces packed items by the items themselves.
+func unpackItems(m *schema.Exchange) error {
+	if !m.HasPacked() {
+		return nil
+	}
+	data, err := decompress(m.GetPacked())
+	if err != nil {
+		return err
+	}
+	list := &schema.Items{}
+	if err := proto.Unmarshal(data, list); err != nil {
+		return fmt.Errorf("unpack items: %w", err)
+	}
+	m.SetItems(list.GetItems())
+	m.ClearPacked()
+	return nil
+}
+
 func decompress(body []byte) ([]byte, error) {
 	n, err := s2.DecodedLen(body)
 	if err != nil {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
@@ -36,6 +38,48 @@
 	m.SetRevision(upTo)
 	m.SetWhole(full)
 	m.SetAfter(after)
+	size := 0
+	for _, i := range items {
+		size += len(i.Value())
+	}
+	if size >= compressionThreshold {
+		if packed, err := g.pack(items); err == nil {
+			m.SetPacked(packed)
+			return
+		}
+	}
+	m.SetItems(messageItems(items))
+}
+
+// packedItems are items in the form in which messages contain them.
+type packedItems struct {
+	// hash identifies the items.
+	hash uint64
+	data []byte
+}
+
+// pack returns the items as a compressed message. A change goes to several daemons in
+// succession, so the last result is kept.
+func (g *gossiper) pack(items []replica.Item) ([]byte, error) {
+	var h xxhash.Digest
+	h.Reset()
+	for _, i := range items {
+		_, _ = h.WriteString(i.Key())
+		_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte{0}, i.Revision()))
+	}
+	hash := h.Sum64()
+	if last := g.packed.Load(); last != nil && last.hash == hash {
+		return last.data, nil
+	}
+	data, err := packItems(messageItems(items))
+	if err != nil {
+		return nil, err
+	}
+	g.packed.Store(&packedItems{hash: hash, data: data})
+	return data, nil
+}
+
+func messageItems(items []replica.Item) []*schema.Item {
 	list := make([]*schema.Item, 0, len(items))
 	for _, i := range items {
 		list = append(list, schema.Item_builder{
@@ -45,7 +89,7 @@
 			Removed:  proto.Bool(i.Removed()),
 		}.Build())
 	}
-	m.SetItems(list)
+	return list
 }
 
 // receive processes a message from another daemon and reports whether that
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -51,6 +51,8 @@
 	ctx        context.Context //nolint:containedctx // the daemon's context, for background work
 	// pushes holds the state of the pushes to each daemon, by IP address.
 	pushes *table.Table[string, pushState]
+	// packed holds the items that were packed last.
+	packed atomic.Pointer[packedItems]
 	// syncPending is set while a call of runDelayed is scheduled.
 	syncPending atomic.Bool
 	// daemonCount is the number of daemons in the fleet.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -63,7 +63,7 @@
 }
 
 // panickyDecoder panics on the item of a certain key.
-type panickyDecoder struct{ platform.Decoder }
+type panickyDecoder struct{ *platform.Decoder }
 
 // Decode implements sidecar.Decoder.
 func (d panickyDecoder) Decode(i replica.Item) (sidecar.Change, error) {
@@ -313,7 +313,7 @@
 			QuotaSlack:  proto.Float64(20),
 		}.Build(),
 	}.Build()
-	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(store), panickyDecoder{},
+	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(store), panickyDecoder{platform.NewDecoder()},
 		platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, logs.NewWriter(f.out), true)
 	if err != nil {
--- a/pkg/operator/builder.go
+++ b/pkg/operator/builder.go
@@ -93,17 +93,23 @@
 	return c, nil
 }
 
+// elementPath returns a function that returns the path of a field of the element at an
+// index. Paths are needed only for problems.
+func elementPath(list string, index int) func(field string) string {
+	return func(field string) string { return fmt.Sprintf("%s[%d]%s", list, index, field) }
+}
+
 func (b *Builder) checkServices(c *Config, ps *Problems) {
 	for i, s := range b.services {
-		path := fmt.Sprintf("services[%d]", i)
+		path := elementPath("services", i)
 		if s.name == "" {
-			ps.Add(path+".name", "must not be empty")
+			ps.Add(path(".name"), "must not be empty")
 		}
 		if _, exists := c.services[s.name]; exists {
-			ps.Add(path+".name", "service %q is defined more than once", s.name)
+			ps.Add(path(".name"), "service %q is defined more than once", s.name)
 		}
 		if s.warmupRate < 0 || s.warmupDuration < 0 {
-			ps.Add(path+".warmup", "must not be negative")
+			ps.Add(path(".warmup"), "must not be negative")
 		}
 		c.services[s.name] = s
 	}
@@ -111,54 +117,54 @@
 
 func (b *Builder) checkRoutes(c *Config, ps *Problems) {
 	for i, r := range b.routes {
-		path := fmt.Sprintf("routes[%d]", i)
+		path := elementPath("routes", i)
 		if !strings.HasPrefix(r.prefix, "/") || !strings.HasSuffix(r.prefix, "/") {
-			ps.Add(path+".prefix", "%q must begin and end with a slash", r.prefix)
+			ps.Add(path(".prefix"), "%q must begin and end with a slash", r.prefix)
 		}
 		key := routeKey{host: r.host, prefix: r.prefix}
 		if other, exists := c.routes[key]; exists {
-			ps.Add(path+".prefix", "host and prefix are already used by route %q", other.name)
+			ps.Add(path(".prefix"), "host and prefix are already used by route %q", other.name)
 		}
 		if r.timeout < 0 || r.latencyObjective < 0 {
-			ps.Add(path+".timeout", "must not be negative")
+			ps.Add(path(".timeout"), "must not be negative")
 		}
 		b.checkTargets(c, ps, path, r)
 		c.routes[key] = r
 	}
 }
 
-func (b *Builder) checkTargets(c *Config, ps *Problems, path string, r Route) {
+func (b *Builder) checkTargets(c *Config, ps *Problems, path func(string) string, r Route) {
 	var sum float64
 	for _, t := range r.targets {
 		if _, ok := c.services[t.service]; !ok {
-			ps.Add(path+".service", "service %q is not defined", t.service)
+			ps.Add(path(".service"), "service %q is not defined", t.service)
 		}
 		if t.weight < 0 {
-			ps.Add(path+".weight", "must not be negative")
+			ps.Add(path(".weight"), "must not be negative")
 		}
 		sum += t.weight
 	}
 	if len(r.targets) == 0 || sum <= 0 {
-		ps.Add(path+".service", "must name a service with a weight above 0")
+		ps.Add(path(".service"), "must name a service with a weight above 0")
 	}
 }
 
 func (b *Builder) checkCustomers(c *Config, ps *Problems) {
 	for i, v := range b.customers {
-		path := fmt.Sprintf("customers[%d]", i)
+		path := elementPath("customers", i)
 		if v.name == "" {
-			ps.Add(path+".name", "must not be empty")
+			ps.Add(path(".name"), "must not be empty")
 		}
 		if _, exists := c.customers[v.name]; exists {
-			ps.Add(path+".name", "customer %q is defined more than once", v.name)
+			ps.Add(path(".name"), "customer %q is defined more than once", v.name)
 		}
 		if v.rate < 0 || v.burst < 0 {
-			ps.Add(path+".rate", "must not be negative")
+			ps.Add(path(".rate"), "must not be negative")
 		}
 		c.customers[v.name] = v
 		for j, key := range v.keys {
 			if owner, exists := c.customerByKey[key]; exists && owner != v.name {
-				ps.Add(fmt.Sprintf("%s.keys[%d]", path, j), "key already belongs to customer %q", owner)
+				ps.Add(path(fmt.Sprintf(".keys[%d]", j)), "key already belongs to customer %q", owner)
 			}
 			c.customerByKey[key] = v.name
 		}
