Place a request without a copy of all instances

Hosts were collected and sorted anew for each message that needed them.

Change: Fleet keeps the usable instances of a service and the hosts until a change, or until a vanished instance becomes unusable. Balancer draws its sample from indices and makes placements only of the few that it compares.

--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -66,7 +66,7 @@
 func (g *gossiper) otherHosts() []fleet.Host {
 	hosts := g.fleet.Hosts()
 	live := 0
-	out := hosts[:0]
+	out := make([]fleet.Host, 0, len(hosts))
 	for _, h := range hosts {
 		if h.Live() {
 			live++
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -48,6 +48,23 @@
 	restoredAt map[string]time.Time
 	// storeUnavailableAt is when the store was last unavailable.
 	storeUnavailableAt time.Time
+	// usable holds the results of UsableInstances by service, and hosts that of Hosts.
+	// They are cleared by each change.
+	usable map[string]usableList
+	hosts  []Host
+}
+
+// usableList is the list of usable instances of a service. It holds until an instance whose
+// entry vanished becomes unusable.
+type usableList struct {
+	instances []Instance
+	until     time.Time
+}
+
+// changed clears what was derived from the records.
+func (f *Fleet) changed() {
+	clear(f.usable)
+	f.hosts = nil
 }
 
 // New returns an empty fleet.
@@ -57,6 +74,7 @@
 		records:    make(map[string]record),
 		evacuated:  make(map[string]bool),
 		restoredAt: make(map[string]time.Time),
+		usable:     make(map[string]usableList),
 	}
 }
 
@@ -66,6 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.records[i.id] = record{instance: i}
+	f.changed()
 }
 
 // Remove records that the entry of an instance vanished from the store. Unless it was
@@ -85,6 +104,7 @@
 		r.usableUntil = f.storeUnavailableAt.Add(outageGrace)
 	}
 	f.records[id] = r
+	f.changed()
 	return true
 }
 
@@ -107,6 +127,7 @@
 		f.restoredAt[centre] = now
 	}
 	f.evacuated[centre] = evacuated
+	f.changed()
 }
 
 // Evacuated reports whether a data centre is out of service.
@@ -126,19 +147,28 @@
 
 // UsableInstances returns the instances of a service that may receive requests,
 // sorted by id: those that are published and not draining, or vanished a short time
-// ago, in data centres that are not out of service. The slice is new.
+// ago, in data centres that are not out of service. The caller must not modify the slice.
+// now must not be before that of an earlier call by more than a moment.
 func (f *Fleet) UsableInstances(now time.Time, service string) []Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []Instance
+	if known, ok := f.usable[service]; ok && (known.until.IsZero() || now.Before(known.until)) {
+		return known.instances
+	}
+	var list usableList
 	for _, r := range f.records {
 		i := r.instance
-		if i.service == service && r.usable(now) && !f.evacuated[i.centre] {
-			list = append(list, i)
+		if i.service != service || !r.usable(now) || f.evacuated[i.centre] {
+			continue
+		}
+		list.instances = append(list.instances, i)
+		if !r.removedAt.IsZero() && (list.until.IsZero() || r.usableUntil.Before(list.until)) {
+			list.until = r.usableUntil
 		}
 	}
-	slices.SortFunc(list, func(a, b Instance) int { return cmp.Compare(a.id, b.id) })
-	return list
+	slices.SortFunc(list.instances, func(a, b Instance) int { return cmp.Compare(a.id, b.id) })
+	f.usable[service] = list
+	return list.instances
 }
 
 // Get returns the instance with the given id, whether it may receive requests, and
@@ -194,10 +224,14 @@
 func (h Host) Live() bool { return h.live }
 
 // Hosts returns the hosts of all published instances and of those that were removed
-// within about the last 30 s, sorted by the text of their IP addresses.
+// within about the last 30 s, sorted by the text of their IP addresses. The caller must not
+// modify the slice.
 func (f *Fleet) Hosts() []Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.hosts != nil {
+		return f.hosts
+	}
 	found := make(map[string]Host)
 	latest := make(map[string]record)
 	for _, r := range f.records {
@@ -212,6 +246,7 @@
 		list = append(list, h)
 	}
 	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.ip, b.ip) })
+	f.hosts = list
 	return list
 }
 
@@ -260,6 +295,7 @@
 	for id, r := range f.records {
 		if !r.removedAt.IsZero() && now.Sub(r.removedAt) > removedRetention {
 			delete(f.records, id)
+			f.changed()
 		}
 	}
 }
--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -252,17 +252,20 @@
 // there is no other, and one on an unreachable host never. Pick returns false if no
 // instance remains. It does not modify the slices.
 func (b *Balancer[P]) Pick(now time.Time, rnd Rand, r Request, instances []fleet.Instance, tried []string) (Placement, bool) {
-	var eligible, inBackoff []Placement
-	for _, i := range instances {
+	// The candidates are the indices of instances. Placements are made of the few that
+	// are compared.
+	eligible := make([]int, 0, len(instances))
+	var inBackoff []int
+	for n := range instances {
+		i := &instances[n]
 		if slices.Contains(tried, i.ID()) || b.Unreachable(i.Address().Host()) {
 			continue
 		}
-		p, backoff := b.placement(now, r, i)
-		if backoff {
-			inBackoff = append(inBackoff, p)
+		if s, _ := b.instances.Get(i.ID()); now.Before(s.avoidUntil) {
+			inBackoff = append(inBackoff, n)
 			continue
 		}
-		eligible = append(eligible, p)
+		eligible = append(eligible, n)
 	}
 	if len(eligible) == 0 {
 		eligible = inBackoff
@@ -270,7 +273,7 @@
 	if len(eligible) == 0 {
 		return Placement{}, false
 	}
-	best := b.cheapest(rnd, eligible)
+	best := b.cheapest(now, rnd, r, instances, eligible)
 	b.addInflight(best.instance.ID())
 	return best, true
 }
@@ -278,7 +281,7 @@
 // Assign places a request at a given instance, even one in backoff or on an
 // unreachable host, and records it as in flight there until Done.
 func (b *Balancer[P]) Assign(now time.Time, r Request, i fleet.Instance) Placement {
-	p, _ := b.placement(now, r, i)
+	p := b.placement(now, r, i)
 	b.addInflight(i.ID())
 	return p
 }
@@ -290,7 +293,7 @@
 	})
 }
 
-func (b *Balancer[P]) placement(now time.Time, r Request, i fleet.Instance) (p Placement, backoff bool) {
+func (b *Balancer[P]) placement(now time.Time, r Request, i fleet.Instance) Placement {
 	s, _ := b.instances.Get(i.ID())
 	halfLives := max(0, now.Sub(s.reportedAt)).Seconds() / reportHalfLife.Seconds()
 	return Placement{
@@ -305,7 +308,7 @@
 		transferSize: b.transferSize(r),
 
 		objective: r.objective,
-	}, now.Before(s.avoidUntil)
+	}
 }
 
 // MarkUnreachable records that the daemon on a host, given by its IP address, does
@@ -340,21 +343,23 @@
 // kind.
 const kindFailureWeight = 0.05
 
-// cheapest returns the cheapest of a random sample of placements. The sample always
-// includes the local one.
-func (b *Balancer[P]) cheapest(rnd Rand, placements []Placement) Placement {
-	rnd.Shuffle(len(placements), func(i, j int) { placements[i], placements[j] = placements[j], placements[i] })
+// cheapest returns the cheapest placement at a random sample of candidates, which are indices
+// of instances. The sample always includes the local one.
+func (b *Balancer[P]) cheapest(now time.Time, rnd Rand, r Request, instances []fleet.Instance, candidates []int) Placement {
+	rnd.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	best, bestCost := Placement{}, math.Inf(1)
 	sameCentre, remote := sameCentreSamples, remoteSamples
-	for _, p := range placements {
+	for _, n := range candidates {
+		i := &instances[n]
 		left := &remote
-		if p.sameCentre {
+		if i.Centre() == b.centre {
 			left = &sameCentre
 		}
-		if *left == 0 && !p.local {
+		if *left == 0 && i.Address().Host() != b.host {
 			continue
 		}
 		*left = max(0, *left-1)
+		p := b.placement(now, r, *i)
 		if c := b.costModel.Cost(p); c < bestCost {
 			best, bestCost = p, c
 		}
