Give idle connections to servers no buffers

Cause: each idle connection to another daemon or to the backend server kept 8 KiB of buffers. A daemon of a large fleet keeps some hundred of them.

Change: buffers come from a pool for the time of an exchange.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -70,8 +70,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("call %s: %w: %w", c.address, ErrNotSent, err)
 		}
+		conn.attachBuffers()
 		resp, reusable, err := conn.exchange(ctx, r)
 		if reusable {
+			conn.detachBuffers()
 			c.release(conn)
 		} else {
 			_ = conn.Close()
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,9 +20,10 @@
 type conn struct {
 	net.Conn
 	head   *headReader
-	r      *bufio.Reader
 	budget *Budget
-	w      *bufio.Writer
+	// r and w are nil while the connection is idle.
+	r *bufio.Reader
+	w *bufio.Writer
 	// written counts the bytes written to the connection.
 	written   *countingWriter
 	idleSince time.Time
@@ -48,13 +50,35 @@
 	return &conn{
 		Conn:    c,
 		head:    head,
-		r:       bufio.NewReaderSize(head, bufferBytes),
 		budget:  b,
-		w:       bufio.NewWriterSize(written, bufferBytes),
 		written: written,
 	}
 }
 
+// readers and writers hold the buffers that no connection uses.
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferBytes) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferBytes) }}
+)
+
+// attachBuffers gives the connection buffers for an exchange.
+func (c *conn) attachBuffers() {
+	c.r, _ = readers.Get().(*bufio.Reader)
+	c.w, _ = writers.Get().(*bufio.Writer)
+	c.r.Reset(c.head)
+	c.w.Reset(c.written)
+}
+
+// detachBuffers takes the buffers from a connection that becomes idle, on which nothing is
+// left unread or unsent. Other connections keep theirs, as they may still be in use.
+func (c *conn) detachBuffers() {
+	c.r.Reset(nil)
+	c.w.Reset(nil)
+	readers.Put(c.r)
+	writers.Put(c.w)
+	c.r, c.w = nil, nil
+}
+
 // healthy reports whether an idle connection is open and has nothing to read, as
 // unsolicited bytes belong to no request. It may be called while another goroutine
 // uses the connection.
