--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -20,6 +20,8 @@
 	// clientName identifies the client to go-zero.
 	clientName  = "backend"
 	dialTimeout = time.Second
+	// maxHeadBytes is the maximum size of the head of a response.
+	maxHeadBytes = 64 << 10
 	// idleTimeout is how long an idle connection is kept.
 	idleTimeout = 30 * time.Second
 )
@@ -53,6 +55,8 @@
 		DisableCompression:  true,
 		WriteBufferSize:     16 << 10,
 		ReadBufferSize:      16 << 10,
+		// Interim responses count, too.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
 		Transport:     transport,
