--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -167,8 +167,9 @@
 }
 
 // checkHealth requests the backend server's health path and applies the remaining
-// warm-up that the response contains. Without it the backend server stays cold for the
-// whole warm-up.
+// warm-up that the response contains. A healthy backend server that reports none has
+// finished its warm-up, or has what its published instance says left of it. Without a
+// healthy response it stays cold for the whole warm-up.
 func (a *admission) checkHealth() {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
@@ -180,7 +181,14 @@
 	}
 	meta := a.protocol.ResponseMetadata(resp.Status(), resp.Header())
 	a.events.stateChange("health check answered", "status", resp.Status(), "cold", meta.warmupRemaining.String(), "known", meta.warmupKnown)
-	if now := time.Now(); meta.warmupKnown {
+	now := time.Now()
+	switch {
+	case meta.warmupKnown:
 		a.setCold(now, now.Add(meta.warmupRemaining))
+	case resp.Status() == http.StatusOK:
+		a.status.mu.Lock()
+		remaining := a.status.instance.WarmupRemaining()
+		a.status.mu.Unlock()
+		a.setCold(now, now.Add(remaining))
 	}
 }
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -115,6 +115,8 @@
 	seen []string
 	// fault is the kind of failure with which requests are answered, or "".
 	fault string
+	// cold is the remaining warm-up that health checks report, or zero if they report none.
+	cold time.Duration
 	// hold, if not nil, delays responses until it is closed.
 	hold chan struct{}
 }
@@ -150,6 +152,15 @@
 	if err != nil {
 		return
 	}
+	if r.URL.Path == "/health" {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		w.Header().Set("X-Instance-Id", b.id)
+		if b.cold > 0 {
+			w.Header().Set("X-Warmup-Ms", strconv.FormatInt(b.cold.Milliseconds(), 10))
+		}
+		return
+	}
 	if r.Header.Get("X-Expect-Instance") != b.id {
 		w.Header().Set("X-Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -93,6 +93,8 @@
 	out      *logBuffer
 	// requests is the number of requests sent so far.
 	requests int
+	// restarted is set once a daemon has been started again.
+	restarted bool
 	// conn is the connection on which a script sends several requests.
 	conn   net.Conn
 	reader *bufio.Reader
@@ -184,6 +186,45 @@
 			apiKey = args[2]
 		}
 		f.store.put("op/config", fmt.Sprintf(configFormat, n, apiKey), false)
+	case "warmup": // warmup n: configuration n, with a warm-up of 3 s at 5 requests a second
+		n, _ := strconv.Atoi(args[1])
+		text := fmt.Sprintf(configFormat, n, callerKey)
+		f.store.put("op/config", strings.ReplaceAll(text, `"max-connections":50`, `"max-connections":50,"warmup-s":3,"warmup-per-s":5`), false)
+	case "cold":
+		f.backends[args[1]].mu.Lock()
+		f.backends[args[1]].cold = 3 * time.Second
+		f.backends[args[1]].mu.Unlock()
+	case "restart": // restart m1 service centre: kills the daemon and starts it again
+		_ = f.daemons[args[1]].Close()
+		f.restarted = true
+		f.start(store, args[1], args[2], args[3], addressOf(args[1], portControl))
+		time.Sleep(500 * time.Millisecond)
+	case "many": // many m1 path n key: sends n requests, 10 ms apart
+		n, _ := strconv.Atoi(args[3])
+		results := make([]string, n)
+		var group sync.WaitGroup
+		for i := range n {
+			r := f.newRequest([]string{"get", args[1], args[2], args[4]})
+			group.Go(func() { results[i] = f.send(r) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		group.Wait()
+		ran := 0
+		for _, text := range results {
+			if strings.HasPrefix(text, "200") {
+				ran++
+			}
+		}
+		// In any second, a cold backend server receives at most 5 requests multiplied by
+		// 1.5, plus 5.
+		const coldBound = 12
+		switch {
+		case ran == n:
+			return "all ran\n"
+		case ran > 0 && ran <= coldBound:
+			return "within the bound for a cold backend server\n"
+		}
+		return fmt.Sprintf("%d of %d ran\n", ran, n)
 	case "ready":
 		f.waitFor(func() bool {
 			for name := range f.daemons {
@@ -311,11 +352,13 @@
 			QuotaWindow: durationpb.New(5 * time.Second),
 			QuotaOver:   proto.Float64(0.25),
 			QuotaSlack:  proto.Float64(20),
+			ColdOver:    proto.Float64(1.5),
+			ColdSlack:   proto.Float64(5),
 		}.Build(),
 	}.Build()
 	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(store), panickyDecoder{platform.NewDecoder()},
 		platform.OperatorPrefix, platform.InstancePrefix)
-	d, err := sidecar.New(s, p, logs.NewWriter(f.out), true)
+	d, err := sidecar.New(s, p, logs.NewWriter(f.out), !f.restarted)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -327,7 +370,9 @@
 
 // request sends a request and formats the response. args are get|post, the machine, the
 // path, and optionally an API key or nokey.
-func (f *testFleet) request(args []string) string {
+func (f *testFleet) request(args []string) string { return f.send(f.newRequest(args)) }
+
+func (f *testFleet) newRequest(args []string) *http.Request {
 	f.requests++
 	method, body := http.MethodGet, io.Reader(nil)
 	if args[0] == "post" {
@@ -349,6 +394,10 @@
 	default:
 		r.Header.Set("Authorization", "Bearer "+callerKey)
 	}
+	return r
+}
+
+func (f *testFleet) send(r *http.Request) string {
 	begin := time.Now()
 	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
