--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -26,7 +26,7 @@
 // needs more memory at the peak of a burst, more often CPU time that requests need then.
 const (
 	maxProcs         = 2
-	gcPercent        = 150
+	gcPercent        = 100
 	memoryLimitBytes = 96 << 20
 )
 
