Let requests behind an unsafe one wait, and send the responses before a broken one

Cause: found by reading. A request with a safe method ran beside an earlier one of the same connection that has none, which RFC 9112 does not allow; a handler that panicked closed the connection before the responses to earlier requests had been sent.

--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -19,7 +19,7 @@
 	// while it was being sent. Such an error also wraps ErrResponseLost.
 	ErrRequestBody = eris.New("cannot read request body")
 	// ErrBodyTooLarge means that a body exceeds its limit, which is 32 MiB or half of
-	// the budget for responses, or the memory that is left for bodies. An error of Client.Do that wraps it also
-	// wraps ErrResponseLost.
+	// the budget for responses, or the memory that is left for bodies. An error of
+	// Client.Do that wraps it also wraps ErrResponseLost.
 	ErrBodyTooLarge = eris.New("body too large")
 )
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -38,6 +38,8 @@
 	status  int
 	// number counts the requests of the connection.
 	number uint64
+	// alone states that the request may not run beside others of the connection.
+	alone bool
 	// previous is closed once the request before this one has been answered, nil if
 	// there is none.
 	previous <-chan struct{}
@@ -284,6 +286,8 @@
 		e.err = e.complete()
 	}
 	if e.err != nil {
+		// The responses before this one are not affected.
+		_ = e.awaitTurn()
 		_ = e.conn.raw.Close()
 	}
 	close(e.done)
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -222,6 +222,8 @@
 	open     int
 	accepted uint64
 	lastDone <-chan struct{}
+	// lastAlone states that the last request may not run beside others.
+	lastAlone bool
 	// reading is set while the head of a request is being read.
 	reading bool
 	// closing is set once no further requests are accepted. The response to the last
@@ -266,8 +268,8 @@
 }
 
 // next reads the head of the next request. It returns nil if no further request is
-// accepted. A request that may not run beside others is returned once these have been
-// answered.
+// accepted. A request is returned once it may run: if it, or the last one, may not run beside
+// others, once the last one has been answered.
 func (c *serverConn) next() (*exchange, error) {
 	c.awaitRequest()
 	c.head.beginHead(c.r.Buffered(), c.server.limits().maxHead())
@@ -286,10 +288,9 @@
 		return nil, err
 	}
 	e := newExchange(c, req, framing)
-	if !runsBesideOthers(req, framing) {
-		if err := c.awaitAnswers(); err != nil {
-			return nil, err
-		}
+	e.alone = !runsBesideOthers(req, framing)
+	if err := c.awaitAnswers(e.alone); err != nil {
+		return nil, err
 	}
 	if !c.accept(e) {
 		return nil, nil //nolint:nilnil // neither a request nor an error
@@ -346,12 +347,13 @@
 	return c.watchUntil(acquired)
 }
 
-// awaitAnswers waits until all requests before the current one have been answered.
-func (c *serverConn) awaitAnswers() error {
+// awaitAnswers waits until all requests before the current one have been answered, if that
+// one or the last may not run beside others.
+func (c *serverConn) awaitAnswers(alone bool) error {
 	c.mu.Lock()
-	last := c.lastDone
+	last, lastAlone := c.lastDone, c.lastAlone
 	c.mu.Unlock()
-	if last == nil {
+	if last == nil || !alone && !lastAlone {
 		return nil
 	}
 	return c.watchUntil(last)
@@ -413,6 +415,7 @@
 	e.previous, c.lastDone = c.lastDone, e.done
 	c.accepted++
 	e.number = c.accepted
+	c.lastAlone = e.alone
 	c.open++
 	c.closing = e.request.Close
 	_ = c.raw.SetReadDeadline(time.Time{})
