--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -244,7 +246,7 @@
 	if h["Date"] == nil {
 		h.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	var head strings.Builder
+	var head bytes.Buffer
 	head.Grow(512)
 	head.WriteString("HTTP/1.1 ")
 	head.WriteString(strconv.Itoa(e.status))
@@ -253,23 +255,12 @@
 	head.WriteString("\r\n")
 	_ = h.Write(&head)
 	head.WriteString("\r\n")
-	return []byte(head.String())
+	return head.Bytes()
 }
 
 // closesConnection reports whether the connection cannot be used after the response.
 func (e *exchange) closesConnection() bool {
-	return headerHasToken(e.header, "Connection", "close") || e.body != nil && !e.body.complete()
-}
-
-func headerHasToken(h http.Header, name, token string) bool {
-	for _, v := range h[name] {
-		for part := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(part), token) {
-				return true
-			}
-		}
-	}
-	return false
+	return httpguts.HeaderValuesContainsToken(e.header["Connection"], "close") || e.body != nil && !e.body.complete()
 }
 
 // finish completes the response and lets the next one be sent. If the response cannot be
--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -61,10 +61,8 @@
 	go func() { _ = server.Serve(l) }()
 	defer f.shutdown(server)
 	benchBackend(b, addressOf("m1", portBackend))
-	for _, id := range []string{"i1"} {
-		f.store.put("servers/"+id, fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"a","zone":"muc","slots":200},"status":{"state":"ready"}}`,
-			addressOf("m1", portBackend)), false)
-	}
+	f.store.put("servers/i1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"a","zone":"muc","slots":200},"status":{"state":"ready"}}`,
+		addressOf("m1", portBackend)), false)
 	f.store.put("servers/i2", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"b","zone":"muc","slots":200},"status":{"state":"ready"}}`,
 		addressOf("m2", portBackend)), false)
 	f.store.put("op/config", strings.Replace(fmt.Sprintf(configFormat, 1, callerKey), `"rate-per-s":1000,"burst":1000`, `"rate-per-s":1000000,"burst":1000000`, 1), false)
