--- a/review/standins/upload.go
+++ b/review/standins/upload.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -138,11 +139,11 @@
 		}
 		u.mu.lock()
 		u.runs[id] = append(u.runs[id], s.id)
-		runs := len(u.runs[id])
+		runs := slices.Clone(u.runs[id])
 		u.mu.unlock()
 		u.record.printf("server %s runs %s", s.id, id)
-		if runs > 1 {
-			u.record.breach("the upload %s runs %d times, at %v", id, runs, u.runs[id])
+		if len(runs) > 1 {
+			u.record.breach("the upload %s runs %d times, at %v", id, len(runs), runs)
 		}
 		time.Sleep(uploadWork)
 		h.Set("X-Request-Id", id)
