--- a/review/standins/stop.go
+++ b/review/standins/stop.go
@@ -16,7 +16,9 @@
 const (
 	stopClients  = 20
 	stopPause    = 250 * time.Millisecond
-	stopDeadline = 3 * time.Second
+	stopDeadline = 4 * time.Second
+	// stopTimeout is the route's timeout.
+	stopTimeout = 2 * time.Second
 	// longWork is the work of one request in longShare, shortWork that of the others.
 	longShare = 10
 	longWork  = 1800 * time.Millisecond
@@ -65,8 +67,8 @@
 		}
 	}
 	register := route("r-register", "register.example", "/register/", "unsafe", "registry", 1)
-	register["spec"].(map[string]any)["timeout-s"] = stopDeadline.Seconds()
-	register["spec"].(map[string]any)["target-latency-s"] = 2
+	register["spec"].(map[string]any)["timeout-s"] = stopTimeout.Seconds()
+	register["spec"].(map[string]any)["target-latency-s"] = 0.6
 	if err := f.start(configuration(7, register, service("tables"), service("registry"), tenant("pulo780", "key-of-pulo780"))); err != nil {
 		return err
 	}
@@ -172,7 +174,7 @@
 	w.mu.unlock()
 	w.f.record.printf("client sent %s %s at %.3f, %.2f s after SIGTERM; its connection ends after %.2f s without an answer (%v); passed on: %v",
 		id, target, sent.Seconds(), after.Seconds(), (now - sent).Seconds(), err, ran)
-	if ran && after > excused && now-sent < stopDeadline {
+	if ran && after > excused && now-sent < stopTimeout {
 		w.f.record.breach("%s, sent %.2f s after SIGTERM, is run by an upstream, and its connection ends %.2f s after it was sent without an answer",
 			id, after.Seconds(), (now - sent).Seconds())
 	}
