Answer a request that has been read before an earlier response closes the connection

A request with a body, or one with another method than GET, HEAD or OPTIONS, waits until the requests before it on its connection have been answered.

Cause: a request counted as accepted only once it could run. Until then the response before it was the last one of the connection. A request that was being read when Shutdown began was dropped as well.

Now a request is accepted when its head has been read, so that the connection does not end before its response. A head that has arrived in part is awaited for the linger time.

--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -37,8 +37,9 @@
 	// reading is set while the head of a request is being read.
 	reading bool
 	// closing is set once no further requests are accepted. The response to the last
-	// request announces it.
-	closing bool
+	// request announces it. lastRead is set while the request that is being read is
+	// accepted nevertheless.
+	closing, lastRead bool
 }
 
 // serve reads requests until the connection ends.
@@ -94,16 +95,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.awaitSlot(); err != nil {
-		return nil, err
-	}
 	e := newExchange(c, req, framing)
 	e.alone = !runsBesideOthers(req, framing)
-	if err := c.awaitAnswers(e.alone); err != nil {
+	last, alone, ok := c.accept(e)
+	if !ok {
+		return nil, nil //nolint:nilnil // neither a request nor an error
+	}
+	if err := c.awaitSlot(); err != nil {
 		return nil, err
 	}
-	if !c.accept(e) {
-		return nil, nil //nolint:nilnil // neither a request nor an error
+	if err := c.awaitAnswers(last, alone); err != nil {
+		return nil, err
 	}
 	return e, nil
 }
@@ -157,13 +159,10 @@
 	return c.watchUntil(acquired)
 }
 
-// awaitAnswers waits until all requests before the current one have been answered, if that
-// one or the last may not run beside others.
-func (c *serverConn) awaitAnswers(alone bool) error {
-	c.mu.Lock()
-	last, lastAlone := c.lastDone, c.lastAlone
-	c.mu.Unlock()
-	if last == nil || !alone && !lastAlone {
+// awaitAnswers waits until the last request before the current one, and so all before it,
+// have been answered, if the two may not run beside each other.
+func (c *serverConn) awaitAnswers(last <-chan struct{}, alone bool) error {
+	if last == nil || !alone {
 		return nil
 	}
 	return c.watchUntil(last)
@@ -213,31 +212,40 @@
 	}
 }
 
-// accept makes a request the last one of the connection, unless the connection is
-// being closed.
-func (c *serverConn) accept(e *exchange) bool {
+// accept makes a request the last one of the connection, unless the connection is being
+// closed. From then on the connection is not closed before the request has been answered,
+// even if it has to wait for the answers to others. accept returns a channel that is closed
+// once the request before it has been answered, nil if there is none, and whether the two may
+// not run beside each other.
+func (c *serverConn) accept(e *exchange) (previous <-chan struct{}, alone, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closing {
-		return false
+	if c.closing && !c.lastRead {
+		return nil, false, false
 	}
-	e.previous, c.lastDone = c.lastDone, e.done
+	c.lastRead = false
+	e.previous = c.lastDone
+	alone = e.alone || c.lastAlone
+	c.lastDone, c.lastAlone = e.done, e.alone
 	c.accepted++
 	e.number = c.accepted
-	c.lastAlone = e.alone
 	c.open++
-	c.closing = e.request.Close
+	c.closing = c.closing || e.request.Close
 	_ = c.raw.SetReadDeadline(time.Time{})
-	return true
+	return e.previous, alone, true
 }
 
-// beginClose accepts no further requests. If no request is open, it closes the
-// connection.
+// beginClose accepts no further requests. If no request is open, it closes the connection,
+// or waits for a request that has arrived in part.
 func (c *serverConn) beginClose() {
 	c.mu.Lock()
 	c.closing = true
-	idle := c.open == 0
+	idle := c.open == 0 && !c.reading
+	c.lastRead = c.open == 0 && c.reading
+	if c.lastRead {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	}
 	c.mu.Unlock()
 	if idle {
 		_ = c.raw.Close()
@@ -276,11 +284,8 @@
 // reject answers a request that could not be read, once those before it have been
 // answered, and accepts no further requests.
 func (c *serverConn) reject(err *requestError) {
-	if c.awaitSlot() != nil {
-		return
-	}
 	e := newExchange(c, &http.Request{Close: true, ProtoMajor: 1, ProtoMinor: 1}, bodyFraming{})
-	if !c.accept(e) {
+	if _, _, ok := c.accept(e); !ok || c.awaitSlot() != nil {
 		return
 	}
 	e.header.Set("Content-Type", "text/plain; charset=utf-8")
