Accept during a planned stop only what is answered before the exit

Cause: every request was accepted until 1.8 s before the end of the grace time and the process exited 0.25 s before it, so that a request had 1.55 s, whatever its deadline.

caller.Shutdown decides by the deadline that a request has when it arrives, which is also when the daemon gives it up: whatever is accepted is answered, or given up, before the exit, and the rest is refused at once as not run. While callers cannot have noticed the stop, a later deadline is accepted if four times the mean run time fits, since refusing all would turn callers away on each rolling restart. Short requests are accepted for longer than before.

Related paths: the daemon beside the backend server decides the same for requests of other daemons; the calls of running requests are served until those have ended, also if no caller is left; requests in the queue are refused when the backend server is closed to new ones, so that they are sent elsewhere; the last responses may take the rest of the grace time to be written, not 50 ms.

Tests: caller/shutdown, and four sections of sidecar/stop. On the code before these gave: no answer; 502 unknown (twice, at the daemon that takes the request and beside another backend server); a nested call answered 503.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -55,9 +55,8 @@
 	// checkingHealth is set while a health check is in progress.
 	checkingHealth atomic.Bool
 	// running is the number of requests at the backend server.
-	running atomic.Int64
-	// refusing is set once the daemon, which is about to stop, admits no more requests.
-	refusing atomic.Bool
+	running  atomic.Int64
+	shutdown *shutdown
 }
 
 // queueDecision is the decision whether a request is refused, queued or started.
@@ -140,7 +139,7 @@
 	known := a.status.instanceKnown
 	a.status.mu.Unlock()
 	switch {
-	case a.refusing.Load():
+	case a.shutdown.backendClosed.Load(), !a.shutdown.accepts(now, req, a.queue.MeanServiceTime):
 		return id, caller.ReasonLeaving
 	case !ok || !known:
 		return instance, caller.ReasonStarting
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -56,14 +56,12 @@
 	metrics         *metrics
 	out             *logs.Writer
 	events          *events
-	servers         []http1.Server
-	cancel          context.CancelFunc
+	// requestServers accept the requests of callers and of other daemons.
+	requestServers, otherServers []http1.Server
+	cancel                       context.CancelFunc
 	// budget bounds the memory for bodies.
-	budget *http1.Budget
-	// stopping is set once Stop has been called.
-	stopping atomic.Bool
-	// refusing is set once the daemon accepts no more requests from callers.
-	refusing atomic.Bool
+	budget   *http1.Budget
+	shutdown *shutdown
 	// openRequests is the number of requests from callers that have not been answered.
 	openRequests atomic.Int64
 }
@@ -111,6 +109,7 @@
 		peers:    newPeerClients(inboundAddr.Port(), controlAddr.Port(), budget),
 		cancel:   cancel,
 		budget:   budget,
+		shutdown: &shutdown{},
 	}
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
@@ -182,8 +181,7 @@
 		limiter:    d.limiter,
 		sender:     d.sender,
 		metrics:    d.metrics,
-		stopping:   d.stopping.Load,
-		refusing:   d.refusing.Load,
+		shutdown:   d.shutdown,
 		budget:     budget,
 	}
 	d.inbound = &inbound{admission: d.admission}
@@ -205,6 +203,7 @@
 		budget:     d.budget,
 		quarantine: backend.NewQuarantine(),
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
+		shutdown:   d.shutdown,
 	}
 }
 
@@ -240,32 +239,26 @@
 	control := http.NewServeMux()
 	control.Handle(controlPath, d.gossiper)
 	control.Handle("/metrics", d.metrics.handler)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-	}{
-		{"ready", s.GetReady(), http.HandlerFunc(d.serveReady)},
-	} {
-		server, err := http1.Listen(l.name, l.address, l.handler)
-		if err != nil {
-			return fmt.Errorf("listen on %s address: %w", l.name, err)
-		}
-		d.servers = append(d.servers, server)
+	ready, err := http1.Listen("ready", s.GetReady(), http.HandlerFunc(d.serveReady))
+	if err != nil {
+		return fmt.Errorf("listen on ready address: %w", err)
 	}
+	d.otherServers = append(d.otherServers, ready)
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
 		limits        func() http1.ConnLimits
+		servers       *[]http1.Server
 	}{
-		{"control", s.GetControl(), control, nil},
-		{"inbound", s.GetInbound(), d.inbound, nil},
-		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits},
+		{"control", s.GetControl(), control, nil, &d.otherServers},
+		{"inbound", s.GetInbound(), d.inbound, nil, &d.requestServers},
+		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits, &d.requestServers},
 	} {
 		server, err := http1.ListenPipelined(l.address, l.handler, d.events.panicked, l.limits)
 		if err != nil {
 			return fmt.Errorf("listen on %s address: %w", l.name, err)
 		}
-		d.servers = append(d.servers, server)
+		*l.servers = append(*l.servers, server)
 	}
 	ctx := d.gossiper.ctx
 	d.events.spawnLoop(ctx, func() { d.watcher.run(ctx) })
@@ -298,7 +291,7 @@
 
 // Ready reports whether the daemon accepts requests from callers.
 func (d *Daemon) Ready() bool {
-	return !d.stopping.Load() && d.state.config.Load() != nil && d.state.fleet.Size() > 0
+	return !d.shutdown.stopping() && d.state.config.Load() != nil && d.state.fleet.Size() > 0
 }
 
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -178,9 +178,13 @@
 	if hold != nil {
 		<-hold
 	}
+	work := workOf(r.URL.Path)
 	if fault == "slow" {
+		work = 500 * time.Millisecond
+	}
+	if work > 0 {
 		select {
-		case <-time.After(500 * time.Millisecond):
+		case <-time.After(work):
 		case <-r.Context().Done():
 			b.mu.Lock()
 			b.seen = append(b.seen, "cancelled "+r.RequestURI)
@@ -190,6 +194,10 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Upstream-Seal", "seal")
+	if strings.HasPrefix(r.URL.Path, "/nested/") {
+		_, _ = io.WriteString(w, "from "+b.id+" after "+b.call("/open/x", id+"-call"))
+		return
+	}
 	switch fault {
 	case "shed":
 		w.Header().Set("X-Not-Executed", "1")
@@ -211,6 +219,36 @@
 	}
 }
 
+// workOf returns the time that a request takes, which is the second segment of the paths
+// /long/ and /nested/.
+func workOf(path string) time.Duration {
+	segments := strings.Split(path, "/")
+	if len(segments) < 3 || segments[1] != "long" && segments[1] != "nested" {
+		return 0
+	}
+	d, _ := time.ParseDuration(segments[2])
+	return d
+}
+
+// call makes a call of a running request through the backend server's own daemon, and
+// returns the status of the response.
+func (b *fakeBackend) call(path, id string) string {
+	host, _, _ := net.SplitHostPort(b.address)
+	r, err := http.NewRequest(http.MethodGet, "http://"+net.JoinHostPort(host, strconv.Itoa(portOutbound))+path, nil)
+	if err != nil {
+		return err.Error()
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", "300")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return "no answer"
+	}
+	_ = resp.Body.Close()
+	return strconv.Itoa(resp.StatusCode)
+}
+
 func (b *fakeBackend) set(fault string, hold chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -49,10 +49,8 @@
 	sender   *sender
 	metrics  *metrics
 	// budget bounds the memory for bodies.
-	budget *http1.Budget
-	// stopping reports whether connections are closed after their current request, and
-	// refusing whether new requests are refused.
-	stopping, refusing func() bool
+	budget   *http1.Budget
+	shutdown *shutdown
 }
 
 // ingressDecision is the decision on a request before its body is read.
@@ -72,7 +70,7 @@
 	decision, resp := in.handle(r, meta, begin)
 	defer resp.lease.Release()
 	defer func() { decision.request.body.lease.Release() }()
-	if in.stopping() {
+	if in.shutdown.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	in.metrics.recordResponse(decision.request, resp, time.Since(begin))
@@ -122,7 +120,7 @@
 	decision := ingressDecision{request: &request{id: meta.id, method: r.Method, target: r.RequestURI, host: r.Host, header: r.Header}}
 	decision.request.suspended = suspend.Start()
 	switch {
-	case in.refusing():
+	case in.shutdown.refusing.Load():
 		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
 		return decision
 	case cfg == nil:
@@ -140,6 +138,10 @@
 	decision.request.atMostOnce = route.AtMostOnce()
 	decision.request.service = route.ChooseService(rand.Float64()) //nolint:gosec // no secret
 	in.setDeadlines(now, decision.request, route, meta)
+	if !in.shutdown.accepts(now, decision.request, in.sender.balancer.MeanRunTime) {
+		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
+		return decision
+	}
 	customer, known := lookupCustomer(cfg, meta)
 	if !known && !route.AllowsAnonymous() {
 		decision.refusal = caller.ReasonInvalidKey
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -46,6 +46,8 @@
 {"resource-type":"routes","metadata":{"name":"read"},"spec":{"hostname":"h.example","prefix":"/read/","type":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"book"},"spec":{"hostname":"h.example","prefix":"/book/","type":"unsafe","timeout-s":1,"target-latency-s":0.5,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"open"},"spec":{"hostname":"h.example","prefix":"/open/","type":"safe","timeout-s":0.4,"target-latency-s":0.2,"priority":1,"service":"b","max-attempts":2,"allow-anonymous":true}},
+{"resource-type":"routes","metadata":{"name":"long"},"spec":{"hostname":"h.example","prefix":"/long/","type":"unsafe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
+{"resource-type":"routes","metadata":{"name":"nested"},"spec":{"hostname":"h.example","prefix":"/nested/","type":"safe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"services","metadata":{"name":"a"},"spec":{"health-path":"/health","max-connections":50}},
 {"resource-type":"services","metadata":{"name":"b"},"spec":{"health-path":"/health","max-connections":50}},
 {"resource-type":"tenants","metadata":{"name":"kunde"},"spec":{"api-keys":[%q],"rate-per-s":1000,"burst":1000}},
@@ -100,6 +102,11 @@
 	reader *bufio.Reader
 	// stops waits for the daemons that are stopping.
 	stops sync.WaitGroup
+	// grace is the grace time of the daemons that are started.
+	grace time.Duration
+	// pending holds the responses to the requests sent in the background, by the name that
+	// the script gives them.
+	pending map[string]chan string
 }
 
 // logBuffer holds the log of all daemons.
@@ -133,6 +140,7 @@
 		f := &testFleet{
 			t: t, store: newFakeStore(), backends: make(map[string]*fakeBackend),
 			daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &logBuffer{},
+			grace: 4 * time.Second, pending: make(map[string]chan string),
 		}
 		server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -275,14 +283,20 @@
 		f.stops.Go(func() { _ = d.Stop() })
 		delete(f.daemons, args[1])
 		time.Sleep(50 * time.Millisecond)
+	case "stopped": // waits for the daemons that are stopping
+		f.stops.Wait()
 	case "wait":
-		d, err := time.ParseDuration(args[1])
-		if err != nil {
-			f.t.Fatal(err)
-		}
-		time.Sleep(d)
+		time.Sleep(f.duration(args[1]))
+	case "grace": // grace 6s: the grace time of the daemons that are started from now on
+		f.grace = f.duration(args[1])
 	case "get", "post":
 		return f.request(args) + "\n"
+	case "begin": // begin name get|post ...: sends a request in the background
+		r, result := f.newRequest(args[2:]), make(chan string, 1)
+		f.pending[args[1]] = result
+		go func() { result <- f.send(r) }()
+	case "await": // await name: prints the response to a request in the background
+		return <-f.pending[args[1]] + "\n"
 	case "open": // open m1: opens a connection for the commands send, receive and leave
 		c, err := net.Dial("tcp", addressOf(args[1], portOutbound))
 		if err != nil {
@@ -322,6 +336,14 @@
 	return ""
 }
 
+func (f *testFleet) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
 // waitFor polls until done returns true, for 6 s at most.
 func (f *testFleet) waitFor(done func() bool) {
 	for range 300 {
@@ -345,7 +367,7 @@
 		Control:  proto.String(control),
 		Store:    proto.String(store),
 		Bounds: schema.Bounds_builder{
-			Grace:       durationpb.New(4 * time.Second),
+			Grace:       durationpb.New(f.grace),
 			RetryRatio:  proto.Float64(0.2),
 			RetryWindow: durationpb.New(10 * time.Second),
 			RetrySlack:  proto.Float64(60),
@@ -385,6 +407,9 @@
 	r.Host = "h.example"
 	r.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", f.t.Name(), f.requests))
 	r.Header.Set("X-Deadline-Ms", "800")
+	if strings.HasPrefix(args[2], "/long/") || strings.HasPrefix(args[2], "/nested/") {
+		r.Header.Set("X-Deadline-Ms", "5000")
+	}
 	r.Header.Set("X-Tenant", "forged")
 	r.Header.Set("X-Caller-Service", "forged")
 	switch {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -1,47 +1,85 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 const (
+	// defaultGrace is the grace time if the settings state none.
+	defaultGrace = 5 * time.Second
 	// drainDelay is how long a stopping daemon continues to serve at least, so that
 	// callers can detect that it is not ready.
 	drainDelay = 2500 * time.Millisecond
-	// refuseBeforeEnd is how long before the end of the grace time the daemon begins to
-	// refuse new requests at the latest.
-	refuseBeforeEnd = 1800 * time.Millisecond
 	// exitBeforeEnd is how long before the end of the grace time the process ends at the
 	// latest, even if requests are still open.
 	exitBeforeEnd = 250 * time.Millisecond
+	// answerBeforeExit is how long before that the last response is due. It is the time
+	// for writing responses and closing connections.
+	answerBeforeExit = 150 * time.Millisecond
 	// idleBeforeRefusal is the time without open requests after which the daemon begins
 	// to refuse new ones.
 	idleBeforeRefusal = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks for open requests.
 	drainPollInterval = 50 * time.Millisecond
+	// closeTimeout bounds Close, which does not wait for open requests.
+	closeTimeout = 50 * time.Millisecond
 )
 
-// Stop ends the daemon within its grace time. The daemon reports that it is not ready,
-// and serves requests until its callers have left or the grace time is nearly over. It
-// then refuses new requests, and ends once no request is running.
+// shutdown is the state of a planned stop. The zero value is that of a daemon that is not
+// stopping.
+type shutdown struct {
+	// plan is set once the daemon is stopping.
+	plan atomic.Pointer[caller.Shutdown]
+	// refusing is set once no more requests of callers are accepted, and backendClosed once
+	// no more requests are sent to the backend server.
+	refusing, backendClosed atomic.Bool
+}
+
+// stopping reports whether the daemon is stopping. Connections are then closed after their
+// current request.
+func (s *shutdown) stopping() bool { return s.plan.Load() != nil }
+
+// accepts reports whether a request can be answered before the daemon exits. meanRunTime
+// returns the mean run time of such requests.
+func (s *shutdown) accepts(now time.Time, req *request, meanRunTime func(route string) time.Duration) bool {
+	p := s.plan.Load()
+	return p == nil || p.Accepts(now, req.deadline, meanRunTime(req.route))
+}
+
+// Stop ends the daemon within its grace time. The daemon reports that it is not ready, and
+// serves what can be answered before its exit until its callers have left. It then sends no
+// more requests to its backend server, waits for those that are running, with the calls that
+// they lead to, and ends.
 func (d *Daemon) Stop() error {
-	end := time.Now().Add(d.currentSettings.Load().GetBounds().GetGrace().AsDuration())
-	d.stopping.Store(true)
+	begin := time.Now()
+	exit := begin.Add(cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace) - exitBeforeEnd)
+	last := exit.Add(-answerBeforeExit)
+	plan := caller.NewShutdown(begin, last, drainDelay)
+	d.shutdown.plan.Store(&plan)
 	d.events.stateChange("stop", "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	// Another daemon has to take over reading the store for the data centre.
 	d.watcher.leaving.Store(true)
 	d.gossiper.syncCentre()
-	sleep(d.gossiper.ctx, drainDelay)
-	waitUntil(end.Add(-refuseBeforeEnd), idleBeforeRefusal, func() bool { return d.openRequests.Load() == 0 })
-	d.refusing.Store(true)
-	d.admission.refusing.Store(true)
-	waitUntil(end.Add(-exitBeforeEnd), drainPollInterval, func() bool {
+	sleep(d.gossiper.ctx, min(drainDelay, time.Until(last)))
+	waitUntil(last, idleBeforeRefusal, func() bool { return d.openRequests.Load() == 0 })
+	d.shutdown.backendClosed.Store(true)
+	d.admission.queue.SetClosed(true)
+	// The calls that the backend server makes for running requests count as open requests.
+	waitUntil(last, idleBeforeRefusal, func() bool {
 		return d.openRequests.Load() == 0 && d.admission.running.Load() == 0
 	})
-	return d.Close()
+	d.shutdown.refusing.Store(true)
+	d.events.stateChange("closing", "took", time.Since(begin).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	return d.close(exit)
 }
 
 // waitUntil waits until a condition has been true for a duration, at most until end.
@@ -59,14 +97,12 @@
 }
 
 // Close ends the daemon at once. Requests that are still open are lost.
-func (d *Daemon) Close() error {
+func (d *Daemon) Close() error { return d.close(time.Now().Add(closeTimeout)) }
+
+// close ends the daemon. It waits for open requests until the given time.
+func (d *Daemon) close(until time.Time) error {
+	errs := []error{shutDown(until, d.requestServers), shutDown(time.Now().Add(closeTimeout), d.otherServers)}
 	d.cancel()
-	var errs []error
-	ctx, cancel := context.WithTimeout(context.Background(), drainPollInterval)
-	defer cancel()
-	for _, s := range d.servers {
-		errs = append(errs, s.Shutdown(ctx))
-	}
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
 	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load())
@@ -76,3 +112,16 @@
 	}
 	return nil
 }
+
+// shutDown shuts down servers and waits for their open requests until the given time.
+func shutDown(until time.Time, servers []http1.Server) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	errs := make([]error, len(servers))
+	var group sync.WaitGroup
+	for i, s := range servers {
+		group.Go(func() { errs[i] = s.Shutdown(ctx) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
--- a/pkg/upstream/estimates.go
+++ b/pkg/upstream/estimates.go
@@ -22,6 +22,13 @@
 	return defaultRunTime
 }
 
+// MeanRunTime returns the mean run time of a kind of request over all instances, or zero if
+// none has been observed.
+func (b *Balancer[P]) MeanRunTime(kind string) time.Duration {
+	d, _ := b.runTimes.Get(runTimeKey{kind: kind})
+	return d
+}
+
 // transferSize returns the expected bytes of a request and its response together.
 func (b *Balancer[P]) transferSize(r Request) int {
 	response, _ := b.responseSizes.Get(r.kind)
