Answer a request whose body does not arrive by its deadline

A caller that stalled while it sent a body of up to 1 MiB held its request open without end, past the deadline and the timeout of its route. A planned stop waited for it until the exit and cut it off.

Cause: the body was read before anything bounded the request by its deadline. Now the deadline of the request bounds the reading, and the response is 503, not run: nothing has been passed on. Larger bodies, which are streamed, were bounded already.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -67,7 +69,7 @@
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begin := time.Now()
 	meta := in.protocol.RequestMetadata(r.Header)
-	decision, resp := in.handle(r, meta, begin)
+	decision, resp := in.handle(w, r, meta, begin)
 	defer resp.lease.Release()
 	defer func() { decision.request.body.lease.Release() }()
 	if in.shutdown.stopping() {
@@ -82,7 +84,7 @@
 }
 
 // handle admits a request, sends it and returns the response.
-func (in *ingress) handle(r *http.Request, meta RequestMetadata, begin time.Time) (ingressDecision, *response) {
+func (in *ingress) handle(w http.ResponseWriter, r *http.Request, meta RequestMetadata, begin time.Time) (ingressDecision, *response) {
 	cfg := in.config.Load()
 	decision, err := workers.Do(r.Context(), in.pool, func() ingressDecision { return in.admit(begin, cfg, r, meta) })
 	if err != nil {
@@ -101,11 +103,13 @@
 	if limit := cfg.Limits().MaxBodyBytes(); limit > 0 && r.ContentLength > limit {
 		return decision, refusedResponse(caller.ReasonTooLarge, 0)
 	}
-	b, err := in.readBody(r)
-	if errors.Is(err, http1.ErrBodyTooLarge) {
+	b, err := in.readBody(w, r, decision.request.deadline)
+	switch {
+	case errors.Is(err, http1.ErrBodyTooLarge):
 		return decision, refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return decision, refusedResponse(caller.ReasonDeadlineExceeded, 0)
+	case err != nil:
 		return decision, refusedResponse(caller.ReasonBadRequest, 0)
 	}
 	decision.request.body = b
@@ -180,9 +184,9 @@
 	req.objective = now.Add(min(objective, timeout))
 }
 
-// readBody buffers a body of up to maxBufferedBody bytes. The rest of a larger one is
-// streamed.
-func (in *ingress) readBody(r *http.Request) (body, error) {
+// readBody buffers a body of up to maxBufferedBody bytes, until the deadline of the request
+// at the latest. The rest of a larger one is streamed.
+func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body, error) {
 	if r.ContentLength == 0 {
 		return body{}, nil
 	}
@@ -197,6 +201,10 @@
 	if err != nil {
 		return body{}, err //nolint:wrapcheck // only compared
 	}
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+		lease.Release()
+		return body{}, fmt.Errorf("set body read deadline: %w", err)
+	}
 	b, err := readPrefix(r)
 	if err != nil {
 		lease.Release()
