Receive signals to stop apart from signals to reload

A daemon that got SIGTERM while a reload was under way and another one waited went on as if nothing had happened, until the platform killed it at the end of the grace time with all its requests (LOST).

Cause: all signals shared one channel with room for one, and signals that find it full are dropped. SIGTERM and SIGINT have a channel of their own now, and a reload under way no longer delays the stop.

Test: TestSignals.

--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -30,8 +28,7 @@
 	if c.Check {
 		return nil
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	received := notifySignals()
 	http1.DelaySignalShutdown(2 * s.GetBounds().GetGrace().AsDuration())
 	limitResources()
 	store := platform.NewStore(s.GetStore())
@@ -44,7 +41,8 @@
 	if err := d.Start(); err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
-	watchSettings(d, s, signals)
+	go watchSettings(d, s, received.reload)
+	<-received.stop
 	if err := d.Stop(); err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
@@ -55,19 +53,16 @@
 // may change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the daemon when its settings change, until the process
-// receives a signal to stop. SIGHUP makes it read the settings at once. Settings that
-// cannot be read are reported to the daemon and not applied.
-func watchSettings(d *sidecar.Daemon, s *schema.Sidecar, signals <-chan os.Signal) {
+// watchSettings reloads the daemon when its settings change, until the process ends. A signal
+// to reload makes it read the settings at once. Settings that cannot be read are reported to
+// the daemon and not applied.
+func watchSettings(d *sidecar.Daemon, s *schema.Sidecar, reload <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-reload:
 		}
 		next, _, err := loadSettings()
 		switch {
--- /dev/null
+++ b/cmd/lycheehead/signals_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+var signalsByName = map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM, "int": syscall.SIGINT}
+
+// TestSignals guards against a planned stop that never begins because its signal arrives
+// while reloads wait (LOST). The words of a script are the signals that arrive before any is
+// handled.
+func TestSignals(t *testing.T) {
+	datadriven.RunTest(t, "testdata/signals", func(t *testing.T, d *datadriven.TestData) string {
+		s := notifySignals()
+		for _, name := range strings.Fields(d.Input) {
+			if err := syscall.Kill(os.Getpid(), signalsByName[name]); err != nil {
+				t.Fatal(err)
+			}
+			// Signals of different kinds have no order.
+			time.Sleep(20 * time.Millisecond)
+		}
+		var out strings.Builder
+		for _, c := range []struct {
+			name   string
+			signal chan os.Signal
+		}{{"stop", s.stop}, {"reload", s.reload}} {
+			select {
+			case <-c.signal:
+				out.WriteString(c.name + "\n")
+			default:
+			}
+		}
+		return out.String()
+	})
+}
