Serve the calls of running requests while a daemon of run drains

A backend server whose daemon (lycheehead run) began a planned stop could make no more calls: the daemon refused them as leaving, so the requests that it waited for failed.

Cause: the ingress refused everything from the signal on, calls of running requests as well. These are served now; a call proves by its token that the request which makes it is running. The drain waits for all requests that the gate has admitted, not only for those that have been sent to the backend server already.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -194,8 +194,9 @@
 func (d *Daemon) Metrics() http.Handler { return d.core.metrics.handler }
 
 // Drain starts a planned stop: new work is refused as not run, one peer is notified
-// by gossip, and calls in progress continue. It returns when no call is running,
-// or with an error that wraps ErrCallsRunning when ctx ends.
+// by gossip, and the requests that the backend server was given continue, with the calls
+// that they make. It returns when none of them is running, or with an error that wraps
+// ErrCallsRunning when ctx ends.
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.core.stopping.Store(true)
 	d.core.members.Leave()
@@ -206,7 +207,7 @@
 	}
 	t := time.NewTicker(drainPollInterval)
 	defer t.Stop()
-	for d.egress.calls.Len() > 0 {
+	for d.egress.gate.Load().Running() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -61,7 +61,8 @@
 
 func (in *ingress) handle(ctx context.Context, now time.Time, c *Call) (string, *Response) {
 	switch {
-	case in.stopping.Load():
+	case in.stopping.Load() && c.parent == "":
+		// Calls of running requests are served until those have ended.
 		return "", refusedResponse(caller.ReasonLeaving)
 	case !in.feed.ready(now):
 		return "", refusedResponse(caller.ReasonStarting)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -1,23 +1,19 @@
 package mesh_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
-	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/lycheehead/lycheehead/internal/callerhttp"
 	"github.com/lycheehead/lycheehead/internal/load"
 	"github.com/lycheehead/lycheehead/internal/mesh"
 	"github.com/lycheehead/lycheehead/internal/schema"
@@ -51,6 +47,9 @@
 	clients map[string]*http.Client
 	// idempotencyKeys maps the labels of a script to idempotency keys.
 	idempotencyKeys map[string]string
+	// pending holds the results of the calls in the background by the name that the script
+	// gives them.
+	pending map[string]chan string
 }
 
 func (r *scriptRunner) close() {
@@ -67,6 +66,10 @@
 		return r.publish(t, d)
 	case "call":
 		return r.call(t, d)
+	case "begin":
+		return r.beginCall(t, d)
+	case "await":
+		return <-r.pending[d.CmdArgs[0].Key]
 	case "kill", "start", "stop", "crash":
 		return r.controlSlots(t, d)
 	case "platform":
@@ -103,6 +106,7 @@
 	r.mesh = m
 	r.clients = make(map[string]*http.Client)
 	r.idempotencyKeys = make(map[string]string)
+	r.pending = make(map[string]chan string)
 	feed, isolatedCentre := "", ""
 	d.MaybeScanArgs(t, "feed", &feed)
 	d.MaybeScanArgs(t, "cut", &isolatedCentre)
@@ -222,74 +226,6 @@
 
 func customerKey(customer string) string { return "secret-of-" + customer }
 
-// call sends one request to a daemon. It prints the status, the outcome, and either the
-// reason or, if a backend server responded, the customer for whom the request ran. The
-// argument once is the label of an idempotency key, next lists the paths of nested requests,
-// body is the size of the body in bytes, and work is the service time. With the argument
-// crash, the request crashes the backend server.
-func (r *scriptRunner) call(t *testing.T, d *datadriven.TestData) string {
-	var to, path, customer, label, nestedPaths, serviceTime string
-	method := http.MethodGet
-	body := 0
-	d.ScanArgs(t, "to", &to)
-	d.ScanArgs(t, "path", &path)
-	d.MaybeScanArgs(t, "for", &customer)
-	d.MaybeScanArgs(t, "method", &method)
-	d.MaybeScanArgs(t, "once", &label)
-	d.MaybeScanArgs(t, "next", &nestedPaths)
-	d.MaybeScanArgs(t, "body", &body)
-	d.MaybeScanArgs(t, "work", &serviceTime)
-	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+r.mesh.Slot(to).CallerAddress()+path, bytes.NewReader(make([]byte, body)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set(standin.RequestIDHeader, d.Pos)
-	req.Header.Set(standin.ServiceTimeHeader, serviceTime)
-	if customer != "" {
-		req.Header.Set(callerhttp.KeyHeader, customerKey(customer))
-		// The daemon must not forward the key in other header fields, either.
-		req.Header.Set("X-Forwarded-Key", customerKey(customer))
-	}
-	if label != "" {
-		req.Header.Set(callerhttp.IdempotencyKeyHeader, r.idempotencyKey(label))
-	}
-	if nestedPaths != "" {
-		req.Header.Set(standin.NestedPathsHeader, nestedPaths)
-	}
-	if d.HasArg("crash") {
-		req.Header.Set(standin.CrashHeader, "1")
-	}
-	// With one client per daemon, calls reuse its connection.
-	client := r.clients[to]
-	if client == nil {
-		client = &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
-		r.clients[to] = client
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return "no answer\n"
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return "cut\n"
-	}
-	reason := resp.Header.Get(callerhttp.ReasonHeader)
-	if resp.Header.Get(standin.BodyDigestHeader) != "" {
-		_, reason, _ = strings.Cut(strings.TrimSpace(string(text)), " for ")
-		reason = "for " + reason
-	}
-	return fmt.Sprintf("%d %s %s\n", resp.StatusCode, resp.Header.Get(callerhttp.OutcomeHeader), reason)
-}
-
-// idempotencyKey returns the idempotency key of a label, which is created at its first use.
-func (r *scriptRunner) idempotencyKey(label string) string {
-	if r.idempotencyKeys[label] == "" {
-		r.idempotencyKeys[label] = uuid.Must(uuid.NewV7()).String()
-	}
-	return r.idempotencyKeys[label]
-}
-
 // controlSlots kills, starts or stops the daemons of slots, or crashes their backend
 // servers.
 func (r *scriptRunner) controlSlots(t *testing.T, d *datadriven.TestData) string {
