Believe no refusal that may be a copy of an earlier one

A faulty backend server that writes an earlier refusal once more on a kept connection made callers believe that a request had not run which had run or was running (REFUSED), and made the daemon send it to a second backend server (TWICE).

Cause: the copy arrives behind the next request and is taken for its response. In sidecar that needed a copy without an id, or a next request with the same id; in run, whose responses have no id, nothing.

A refusal ends its connection now, in both daemons, so that no connection on which a request waits has carried one. In sidecar a response without an id is accepted only on the first request of a connection; elsewhere it is skipped, with a line in the log. Health checks do not accept a response that has an id.

The command 'most' of the sidecar scripts now adds up the runs of a request at all backend servers. The interface sidecar.Protocol has Match in place of Matches.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -35,13 +35,18 @@
 	address string
 	service httpc.Service
 	tracker *connTracker
+	// refuses reports by the header of a response whether the backend server refused the
+	// request.
+	refuses func(http.Header) bool
 }
 
 // New returns a client of the backend server at an address, which is a host and port. At
-// most maxConns connections are open at a time; further requests wait. onFailure is called
-// when the last open connection breaks and when a new one cannot be established, possibly
-// from several goroutines at once.
-func New(address string, maxConns int, onFailure func()) *Client {
+// most maxConns connections are open at a time; further requests wait. refuses reports by the
+// header of a response whether the backend server refused the request; such a response ends
+// its connection, so that a second copy of it cannot be taken for the response to a later
+// request. onFailure is called when the last open connection breaks and when a new one cannot
+// be established, possibly from several goroutines at once.
+func New(address string, maxConns int, refuses func(http.Header) bool, onFailure func()) *Client {
 	// Admission control decides when to stop sending requests, as it has more
 	// information than the library's circuit breaker.
 	breaker.NoBreakerFor(clientName)
@@ -66,6 +71,7 @@
 		address: address,
 		service: httpc.NewServiceWithClient(clientName, client),
 		tracker: t,
+		refuses: refuses,
 	}
 }
 
@@ -89,7 +95,9 @@
 // not be; after any other error it may have been.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	var written atomic.Bool
+	var conn atomic.Pointer[httptrace.GotConnInfo]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:          func(i httptrace.GotConnInfo) { conn.Store(&i) },
 		WroteHeaderField: func(string, []string) { written.Store(true) },
 	})
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.address+r.target, nil)
@@ -106,6 +114,9 @@
 	preventRetry(req)
 	resp, err := c.service.DoRequest(req)
 	if err == nil {
+		if i := conn.Load(); i != nil && c.refuses(resp.Header) {
+			_ = i.Conn.Close()
+		}
 		return resp, nil
 	}
 	if !written.Load() {
--- /dev/null
+++ b/internal/backendhttp/client_test.go
@@ -0,0 +1,111 @@
+package backendhttp_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/backendhttp"
+)
+
+// responses are what a script can make the server send.
+var responses = map[string]string{
+	"ok":     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	"shed":   "HTTP/1.1 503 Service Unavailable\r\nBackend-Shed: 1\r\nContent-Length: 0\r\n\r\n",
+	"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nLast: 1\r\n\r\n",
+	"interim": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+}
+
+// server answers each request as the next line of its script says. The words of a line are
+// responses; copy stands for the last refusal on the connection.
+type server struct {
+	listener net.Listener
+	script   chan string
+}
+
+func newServer(t *testing.T) *server {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{listener: l, script: make(chan string, 1)}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s
+}
+
+func (s *server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	shed := ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		for word := range strings.FieldsSeq(<-s.script) {
+			text := responses[word]
+			switch word {
+			case "copy":
+				text = shed
+			case "shed":
+				shed = text
+			}
+			_, _ = io.WriteString(c, text)
+		}
+	}
+}
+
+func newClient(s *server) *backendhttp.Client {
+	return backendhttp.New(s.listener.Addr().String(), 4, func(h http.Header) bool { return h.Get("Backend-Shed") != "" }, func() {})
+}
+
+// post sends a request and formats the response.
+func post(c *backendhttp.Client) string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	resp, err := c.Do(ctx, backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, strings.NewReader("hello"), 5))
+	if err != nil {
+		return "no response"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	text := strings.TrimSpace(fmt.Sprintf("%d %s", resp.StatusCode, body))
+	if err != nil {
+		text += " (cut)"
+	}
+	return text
+}
+
+// TestRefusals guards against a refusal that a backend server writes once more and that is
+// taken for the response to the next request (REFUSED).
+func TestRefusals(t *testing.T) {
+	datadriven.RunTest(t, "testdata/refusals", func(t *testing.T, d *datadriven.TestData) string {
+		s := newServer(t)
+		c := newClient(s)
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			s.script <- line
+			fmt.Fprintf(&out, "%s: %s\n", line, post(c))
+		}
+		return out.String()
+	})
+}
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -88,10 +88,13 @@
 		calls:       table.New[string, caller.Context](lock.Calls),
 		instanceIDs: table.New[string, string](lock.Calls),
 	}
-	e.client = backendhttp.New(c.settings.GetBackend(), maxConnections, e.connectionsLost)
+	e.client = backendhttp.New(c.settings.GetBackend(), maxConnections, isRefusal, e.connectionsLost)
 	return e
 }
 
+// isRefusal reports whether a response with a header says that the request was not run.
+func isRefusal(h http.Header) bool { return h.Get(shedHeader) != "" }
+
 // connectionsLost handles the loss of the last connection to the backend server or
 // its refusal of a new one. Both indicate a restart.
 func (e *egress) connectionsLost() {
@@ -290,7 +293,7 @@
 		return e.failedReply(ctx, w, t, err)
 	}
 	e.recordInstanceID(resp.Header.Get(instanceHeader))
-	if resp.Header.Get(shedHeader) != "" {
+	if isRefusal(resp.Header) {
 		e.calls.Delete(token)
 		_ = resp.Body.Close()
 		e.gate.Done(time.Now(), t, backend.Shed)
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -29,11 +29,14 @@
 	"garbage":   "no answer at all\r\n\r\n",
 	"continue":  "HTTP/1.1 100 Continue\r\n\r\n",
 	"refusal":   "HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nContent-Length: 2\r\n\r\nno",
+	"bare":      "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno",
+	"nameless":  "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnameless",
 	"keepalive": "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=1\r\nContent-Length: 4\r\n\r\nbody",
 }
 
 // scriptedServer handles each request as its script says. A script consists of names of
-// canned responses and may end with close, reset or silence.
+// canned responses and may end with close, reset or silence. The word copy stands for the
+// last refusal that the server sent on the connection, if any.
 type scriptedServer struct {
 	listener net.Listener
 	script   chan string
@@ -62,6 +65,7 @@
 func (s *scriptedServer) serve(c net.Conn, n int) {
 	defer func() { _ = c.Close() }()
 	buf := make([]byte, 1<<20)
+	refusal := ""
 	for {
 		read, err := c.Read(buf)
 		if err != nil {
@@ -85,11 +89,16 @@
 			case "silence":
 				_, _ = c.Read(buf)
 				return
+			case "copy":
+				_, _ = c.Write([]byte(refusal))
 			default:
 				text := cannedResponses[word]
 				if strings.Contains(text, "%s") {
 					text = fmt.Sprintf(text, id)
 				}
+				if word == "refusal" || word == "bare" {
+					refusal = text
+				}
 				_, _ = c.Write([]byte(text))
 			}
 		}
@@ -139,7 +148,16 @@
 		r = http1.NewRequest(http.MethodPost, "/", "example", h)
 		r.SetBody(make([]byte, 8<<20), nil, 8<<20)
 	}
-	r.SetResponseMatcher(func(h http.Header) bool { return h.Get("Id") == "mine" })
+	r.SetResponseMatcher(func(h http.Header) http1.Match {
+		switch h.Get("Id") {
+		case "mine":
+			return http1.Matched
+		case "":
+			return http1.Unidentified
+		}
+		return http1.Mismatch
+	})
+	r.SetCloseAfter(func(status int, _ http.Header) bool { return status == http.StatusServiceUnavailable })
 	return r
 }
 
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -29,6 +29,8 @@
 	idleSince time.Time
 	// keepAlive is the server's timeout for idle connections, zero if unknown.
 	keepAlive time.Duration
+	// requests is the number of requests that the connection has carried.
+	requests int
 }
 
 // countingWriter counts the bytes that are written.
@@ -106,6 +108,7 @@
 func (c *conn) exchange(ctx context.Context, r *Request) (resp *Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	c.requests++
 	if !r.expectContinue || !r.hasBody() {
 		r.commit()
 	}
@@ -223,7 +226,10 @@
 			return nil, false, err
 		}
 		clean = clean && keep
-		if r.matches != nil && !r.matches(head.Header) {
+		if !c.belongs(r, head) {
+			if r.onSkip != nil {
+				r.onSkip(head.StatusCode, head.Header)
+			}
 			if !keep {
 				out.Release()
 				return nil, false, fmt.Errorf("%w: response to another request", ErrResponseLost)
@@ -233,6 +239,9 @@
 			skipped++
 			continue
 		}
+		if r.closeAfter != nil && r.closeAfter(head.StatusCode, head.Header) {
+			clean = false
+		}
 		// Bytes after the response belong to no request.
 		return out, clean && c.r.Buffered() == 0, nil
 	}
@@ -240,6 +249,15 @@
 		ErrResponseLost, interim, maxInterim, skipped, maxSkipped)
 }
 
+// belongs reports whether a response belongs to a request.
+func (c *conn) belongs(r *Request, head *http.Response) bool {
+	if r.match == nil {
+		return true
+	}
+	m := r.match(head.Header)
+	return m == Matched || m == Unidentified && c.requests == 1
+}
+
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	c.head.beginHead(c.r.Buffered(), maxHeadBytes)
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: r.method})
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -22,9 +22,24 @@
 	expectContinue bool
 	onCommit       func()
 	freshConnOnly  bool
-	matches        func(http.Header) bool
+	match          func(http.Header) Match
+	onSkip         func(status int, h http.Header)
+	closeAfter     func(status int, h http.Header) bool
 }
 
+// Match states whether a response belongs to a request.
+type Match uint8
+
+const (
+	// Mismatch means that the response belongs to another request.
+	Mismatch Match = iota
+	// Unidentified means that the response does not say to which request it belongs. It is accepted
+	// only on a connection that has carried no other request.
+	Unidentified
+	// Matched means that the response belongs to the request.
+	Matched
+)
+
 // NewRequest returns a request without a body. target is the escaped path and query. host
 // is the value of the Host field, which need not be the address that the client connects
 // to. The header is not copied.
@@ -53,9 +68,18 @@
 // server may have closed an idle one without the client having noticed yet.
 func (r *Request) SetFreshConnOnly() { r.freshConnOnly = true }
 
-// SetResponseMatcher sets the function that reports whether a response belongs to this
-// request. A response that does not match is skipped.
-func (r *Request) SetResponseMatcher(matches func(http.Header) bool) { r.matches = matches }
+// SetResponseMatcher sets the function that reports by the header of a response whether it
+// belongs to this request. A response that does not is skipped.
+func (r *Request) SetResponseMatcher(match func(http.Header) Match) { r.match = match }
+
+// SetOnSkip sets a function that is called with each final response that is skipped.
+func (r *Request) SetOnSkip(onSkip func(status int, h http.Header)) { r.onSkip = onSkip }
+
+// SetCloseAfter sets the function that reports whether a response ends its connection, so
+// that a second copy of it cannot be taken for the response to a later request.
+func (r *Request) SetCloseAfter(closeAfter func(status int, h http.Header) bool) {
+	r.closeAfter = closeAfter
+}
 
 func (r *Request) hasBody() bool { return r.length != 0 }
 
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -250,7 +250,7 @@
 	a.protocol.SetTarget(h, id, remaining)
 	httpReq := http1.NewRequest(req.method, req.target, req.host, h)
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
-	httpReq.SetResponseMatcher(func(header http.Header) bool { return a.protocol.Matches(req.id, header) })
+	a.identifyResponse(httpReq, req.id)
 	if req.atMostOnce {
 		httpReq.SetFreshConnOnly()
 	}
@@ -277,6 +277,19 @@
 	return &result{outcome: caller.OutcomeRan, delivered: true, status: resp.Status(), header: resp.Header(), body: resp.Body(), lease: resp.Lease()}
 }
 
+// identifyResponse makes a request to the backend server accept only the response to the
+// request with its id. A backend server may send a response again later. That must not happen
+// to a refusal, by which others are told that a request has not run, not even where the same
+// request is sent to the backend server again. A refusal therefore ends its connection.
+func (a *admission) identifyResponse(r *http1.Request, id string) {
+	r.SetResponseMatcher(func(h http.Header) http1.Match { return a.protocol.Match(id, h) })
+	r.SetCloseAfter(func(status int, h http.Header) bool { return a.protocol.ResponseMetadata(status, h).notRun })
+	r.SetOnSkip(func(status int, h http.Header) {
+		a.events.request(logs.Refusal, "response skipped", id, "status", status, "refusal", a.protocol.ResponseMetadata(status, h).notRun,
+			"identified", a.protocol.Match(id, h) != http1.Unidentified)
+	})
+}
+
 // handleSendError derives the result of a request that got no response from the error.
 func (a *admission) handleSendError(ctx context.Context, now time.Time, req *request, entry *backend.Entry, err error) *result {
 	switch {
--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -174,6 +174,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	httpReq := http1.NewRequest(http.MethodGet, a.serviceConfig().HealthPath(), a.address.String(), http.Header{})
+	a.identifyResponse(httpReq, "")
 	resp, err := a.client.Do(ctx, httpReq)
 	if err != nil {
 		a.events.stateChange("health check failed", "error", err.Error())
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -169,6 +170,12 @@
 	id := r.Header.Get("X-Request-Id")
 	b.mu.Lock()
 	fault, hold := b.fault, b.hold
+	b.mu.Unlock()
+	if fault == "copy" || fault == "barecopy" {
+		b.refuseTwice(w, r, fault == "barecopy")
+		return
+	}
+	b.mu.Lock()
 	if fault != "shed" {
 		b.ran[id]++
 	}
@@ -264,13 +271,9 @@
 	return seen
 }
 
-// maxRuns returns how often the request that ran most often has run.
-func (b *fakeBackend) maxRuns() int {
+// runs returns how often each request has run, by its id.
+func (b *fakeBackend) runs() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	runs := 0
-	for _, n := range b.ran {
-		runs = max(runs, n)
-	}
-	return runs
+	return maps.Clone(b.ran)
 }
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/pkg/replica"
@@ -76,9 +77,9 @@
 	// SetTarget sets the header fields for the instance that the request is meant
 	// for and for the time that remains until the deadline.
 	SetTarget(h http.Header, instance string, remaining time.Duration)
-	// Matches reports whether the header fields of a response belong to the request
-	// with an id.
-	Matches(id string, h http.Header) bool
+	// Match reports whether the header fields of a response belong to the request with an
+	// id, or to one without an id if that is empty.
+	Match(id string, h http.Header) http1.Match
 	// ResponseMetadata reads the status and the header fields of a backend
 	// server's response.
 	ResponseMetadata(status int, h http.Header) ResponseMetadata
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -291,6 +291,9 @@
 		f.grace = f.duration(args[1])
 	case "get", "post":
 		return f.request(args) + "\n"
+	case "again": // again get|post ...: sends a request with the id of the last one
+		f.requests--
+		return f.request(args[1:]) + "\n"
 	case "begin": // begin name get|post ...: sends a request in the background
 		r, result := f.newRequest(args[2:]), make(chan string, 1)
 		f.pending[args[1]] = result
@@ -329,9 +332,12 @@
 		slices.Sort(lines)
 		return strings.Join(lines, "")
 	case "most":
-		runs := 0
+		total, runs := make(map[string]int), 0
 		for _, b := range f.backends {
-			runs = max(runs, b.maxRuns())
+			for id, n := range b.runs() {
+				total[id] += n
+				runs = max(runs, total[id])
+			}
 		}
 		return fmt.Sprintf("no request ran more than %d times\n", runs)
 	default:
