Reset the connection of a response without length that breaks off

Found while looking for responses that are cut in their heads; that fault does not occur here.

While such a response is sent, the connection is set to be reset when it is closed, by the handler's failure, by a stop that runs out of time or by the end of the process. The complete response takes that back.

Tests: http1/pipeline, 'closed, 81 more bytes' before, 'reset' now.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -54,7 +54,9 @@
 	// headSent is set once the head of the response has been sent, and chunked if the
 	// body is chunked.
 	headSent, chunked bool
-	err               error
+	// endsWithConn is set if the end of the connection is the end of the body.
+	endsWithConn bool
+	err          error
 }
 
 func newExchange(c *serverConn, req *http.Request, f bodyFraming) *exchange {
@@ -236,6 +238,10 @@
 		h.Set("Transfer-Encoding", "chunked")
 	default:
 		closeAfter = true
+		// The end of the connection is the end of the body. Until that is complete, the
+		// response must not look as if it were.
+		e.endsWithConn = true
+		e.setReset(true)
 	}
 	switch {
 	case e.conn.lastResponse(e, closeAfter):
@@ -285,6 +291,18 @@
 	e.conn.finish(e)
 }
 
+// setReset sets whether the connection is reset when it is closed, also by the end of the
+// process.
+func (e *exchange) setReset(reset bool) {
+	if tcp, ok := e.conn.raw.(*net.TCPConn); ok {
+		if reset {
+			_ = tcp.SetLinger(0)
+		} else {
+			_ = tcp.SetLinger(-1)
+		}
+	}
+}
+
 // complete sends what has not been sent of the response.
 func (e *exchange) complete() error {
 	if err := e.awaitTurn(); err != nil {
@@ -308,6 +326,9 @@
 	if e.length >= 0 && e.written < e.length && e.request.Method != http.MethodHead && bodyAllowed(e.status) {
 		return errShortResponse
 	}
+	if e.endsWithConn {
+		e.setReset(false)
+	}
 	return nil
 }
 
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -88,6 +88,14 @@
 		panic(http.ErrAbortHandler)
 	case "short":
 		w.Header().Set("Content-Length", "100")
+	case "broken":
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	case "stuck":
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+		<-h.gate(r.URL.Path)
 	case "stream":
 		_, _ = io.WriteString(w, "first ")
 		w.(http.Flusher).Flush()
