Pass on no request whose client left before it was read

A daemon that is too busy to read, as on a small machine in a storm of configurations, finds a request together with the end of its connection, since clients give up a request that is not read in time. It called the handler all the same and learned only afterwards, beside it, that the client had left, so that the request may have reached a backend server (GONE).

The end of the connection is looked for before the handler is called, and again when a body has been read. Tests: three sections of http1/pipeline, in which the server is held up before it reads; before, the handler began, and after an upload it went on.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -94,10 +94,8 @@
 		return false
 	}
 	healthy := false
-	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		healthy = n < 0 && (errors.Is(e, syscall.EAGAIN) || errors.Is(e, syscall.EWOULDBLOCK))
+		_, healthy = peek(fd)
 		return true
 	})
 	return err == nil && healthy
--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -75,11 +75,12 @@
 	return e
 }
 
-// run calls the handler and completes the response.
+// run calls the handler and completes the response. A process that was too busy to read may
+// find a request and the end of its connection at the same time. The handler is not called then.
 func (e *exchange) run() {
 	ctx, cancel := context.WithCancel(e.conn.ctx)
 	defer cancel()
-	if !e.conn.runHandler(e, e.request.WithContext(ctx)) {
+	if ended(e.conn.raw) || !e.conn.runHandler(e, e.request.WithContext(ctx)) {
 		e.err = http.ErrAbortHandler
 	}
 	e.finish()
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -99,6 +99,11 @@
 	case "stream":
 		_, _ = io.WriteString(w, "first ")
 		w.(http.Flusher).Flush()
+	case "check":
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Context().Err() != nil {
+			h.record("cancelled %s", r.URL.Path)
+		}
 	case "refuse":
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -126,6 +131,8 @@
 	reader  *bufio.Reader
 	// idle is the limit for idle connections, or zero.
 	idle time.Duration
+	// busy holds up the server before it reads a request, while it holds a value.
+	busy chan struct{}
 	// stopped is closed once Shutdown has returned.
 	stopped chan struct{}
 }
@@ -158,7 +165,7 @@
 // command.
 func TestPipeline(t *testing.T) {
 	datadriven.RunTest(t, "testdata/pipeline", func(t *testing.T, d *datadriven.TestData) string {
-		s := &pipelineScript{t: t, handler: &scriptedHandler{gates: make(map[string]chan struct{})}, address: freeAddress(t), stopped: make(chan struct{})}
+		s := &pipelineScript{t: t, handler: &scriptedHandler{gates: make(map[string]chan struct{})}, address: freeAddress(t), stopped: make(chan struct{}), busy: make(chan struct{}, 1)}
 		var err error
 		if d.HasArg("idle") {
 			var idle time.Duration
@@ -192,7 +199,11 @@
 	return l.Addr().String()
 }
 
-func (s *pipelineScript) limits() http1.ConnLimits { return http1.NewConnLimits(s.idle, 0, 0) }
+func (s *pipelineScript) limits() http1.ConnLimits {
+	s.busy <- struct{}{}
+	<-s.busy
+	return http1.NewConnLimits(s.idle, 0, 0)
+}
 
 func (s *pipelineScript) connect() {
 	c, err := net.Dial("tcp", s.address)
@@ -253,6 +264,10 @@
 		return s.read(http.MethodHead)
 	case "end":
 		return s.readEnd()
+	case "busy": // busy, ready: the server is too busy to read requests, and is no more
+		s.busy <- struct{}{}
+	case "ready":
+		<-s.busy
 	case "leave":
 		_ = s.conn.Close()
 	case "reset":
--- a/internal/http1/request_body.go
+++ b/internal/http1/request_body.go
@@ -39,6 +39,9 @@
 	n, err := b.src.Read(p)
 	if errors.Is(err, io.EOF) && !b.whole.Load() {
 		_ = b.exchange.conn.raw.SetReadDeadline(time.Time{})
+		if ended(b.exchange.conn.raw) {
+			b.exchange.conn.cancel()
+		}
 		b.whole.Store(true)
 		close(b.ended)
 	}
--- a/internal/http1/sockopt.go
+++ b/internal/http1/sockopt.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -25,3 +26,30 @@
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
 	})
 }
+
+// peek returns how many bytes a socket has to read, at most one. None means that the peer has
+// ended the connection, or that it is open if open is set.
+func peek(fd uintptr) (n int, open bool) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return max(n, 0), errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+}
+
+// ended reports whether the peer has ended a connection on which nothing is left to read. It
+// may be called while another goroutine uses the connection.
+func ended(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		n, open := peek(fd)
+		gone = n == 0 && !open
+	})
+	return err != nil || gone
+}
