Close the control address of a stopping daemon by its exit time

Closing the control and ready addresses took up to 50 ms beyond the time at which the process was to exit, where requests were open until then.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -101,7 +101,11 @@
 
 // close ends the daemon. It waits for open requests until the given time.
 func (d *Daemon) close(until time.Time) error {
-	errs := []error{shutDown(until, d.requestServers), shutDown(time.Now().Add(closeTimeout), d.otherServers)}
+	errs := []error{shutDown(until, d.requestServers)}
+	if soon := time.Now().Add(closeTimeout); soon.Before(until) {
+		until = soon
+	}
+	errs = append(errs, shutDown(until, d.otherServers))
 	d.cancel()
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
