Notice that a client leaves while its body has not been asked for

A request that runs at most once is sent to another daemon without its body, which follows once the request may run. If its client left meanwhile, the daemon beside the backend server did not notice it: the request kept its place in the queue and took a slot of the backend server before its body turned out to be missing.

Cause: the server waited for the body and did not read the connection until the handler did. It now watches the connection until the handler asks for the body. A read deadline that the handler sets before takes effect with the first read.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -66,9 +66,9 @@
 	if f.chunked || f.length > 0 {
 		e.body = &requestBody{
 			exchange: e, src: newBodyReader(c.r, f), ended: make(chan struct{}),
-			expectsContinue: strings.EqualFold(req.Header.Get("Expect"), "100-continue"),
-			idle:            make(chan struct{}, 1),
+			idle: make(chan struct{}, 1), wanted: make(chan struct{}), unwatched: make(chan struct{}),
 		}
+		e.body.expectsContinue.Store(strings.EqualFold(req.Header.Get("Expect"), "100-continue"))
 		e.body.idle <- struct{}{}
 		req.Body = e.body
 	}
@@ -145,6 +145,11 @@
 		// The connection is read for the next request.
 		return nil
 	}
+	e.body.deadline = until
+	if e.body.expectsContinue.Load() {
+		// The deadline takes effect with the first read.
+		return nil
+	}
 	if err := e.conn.raw.SetReadDeadline(until); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
@@ -343,7 +348,9 @@
 	deadline := time.Now()
 	select {
 	case <-b.idle:
-		if !b.expectsContinue {
+		if b.expectsContinue.CompareAndSwap(true, false) {
+			close(b.wanted)
+		} else {
 			deadline = deadline.Add(discardTimeout)
 		}
 		b.idle <- struct{}{}
--- a/internal/http1/request_body.go
+++ b/internal/http1/request_body.go
@@ -13,8 +13,13 @@
 type requestBody struct {
 	exchange *exchange
 	src      io.Reader
-	// expectsContinue is set until the client has been asked for the body.
-	expectsContinue bool
+	// expectsContinue is set while the client waits to be asked for the body. Until then the
+	// server watches the connection. wanted is closed once the handler reads the body or will
+	// not do so, and unwatched once the server has left the connection to the handler.
+	expectsContinue   atomic.Bool
+	wanted, unwatched chan struct{}
+	// deadline is the time until which the handler may read the body, zero for no limit.
+	deadline time.Time
 	// idle holds a value while no goroutine reads the connection.
 	idle   chan struct{}
 	closed bool
@@ -30,8 +35,10 @@
 	if b.closed {
 		return 0, http.ErrBodyReadAfterClose
 	}
-	if b.expectsContinue {
-		b.expectsContinue = false
+	if b.expectsContinue.CompareAndSwap(true, false) {
+		close(b.wanted)
+		<-b.unwatched
+		_ = b.exchange.conn.raw.SetReadDeadline(b.deadline)
 		if err := b.exchange.writeContinue(); err != nil {
 			return 0, err
 		}
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -63,19 +63,36 @@
 			c.discard()
 			return
 		}
+		watch := e.body != nil && e.body.expectsContinue.Load()
 		go e.run()
-		if e.body != nil {
-			// The body is on the connection before the next request.
-			select {
-			case <-e.body.ended:
-			case <-e.done:
-			}
-			if !e.body.complete() {
-				c.discard()
-				return
-			}
+		if e.body != nil && !c.awaitBody(e, watch) {
+			return
+		}
+	}
+}
+
+// awaitBody waits until the handler has read the body of a request, which is on the connection
+// before the next request, and reports whether it has. If watch is set, the client waits to be
+// asked for the body, and the connection is watched until then, so that the request is
+// cancelled if the client leaves.
+func (c *serverConn) awaitBody(e *exchange, watch bool) bool {
+	if watch {
+		err := c.watchUntil(e.body.wanted)
+		close(e.body.unwatched)
+		if err != nil {
+			return false
 		}
 	}
+	select {
+	case <-e.body.ended:
+	case <-e.done:
+	}
+	if e.body.complete() {
+		return true
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.discard()
+	return false
 }
 
 // next reads the head of the next request. It returns nil if no further request is
