Send at most two large messages to other daemons at a time

Cause: the link of a machine that reads the store was full. 250 ms after a change a reader compares revisions with all daemons of its data centre. While versions came every 0.17 s, the distribution tree was not done by then, and the reader sent the whole configuration to up to 60 daemons at once. Requests, the end of their connections and the pushes waited behind that; the pushes timed out and were sent again.

peer.Transfers decides: messages along the tree first, of the others one at a time, after another comparison.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/lycheehead/lycheehead/pkg/customer"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/table"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 	"github.com/lycheehead/lycheehead/pkg/workers"
@@ -133,6 +134,7 @@
 		quarantine: d.admission.quarantine,
 		ctx:        ctx,
 		pushes:     newPushTable(),
+		transfers:  peer.NewTransfers(maxTransfers),
 	}
 	seeds := seedIPs(s)
 	d.gossiper.seeds.Store(&seeds)
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -11,6 +11,7 @@
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
+	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
@@ -51,6 +52,8 @@
 	ctx        context.Context //nolint:containedctx // the daemon's context, for background work
 	// pushes holds the state of the pushes to each daemon, by IP address.
 	pushes *table.Table[string, pushState]
+	// transfers limits the large messages that are sent at a time.
+	transfers *peer.Transfers
 	// packed holds the items that were packed last.
 	packed atomic.Pointer[packedItems]
 	// syncPending is set while a call of runDelayed is scheduled.
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -41,6 +41,8 @@
 	// does not get them from the store, and not because they are still on their way. It
 	// leaves time to get them from another data centre before they have to be in force.
 	outdatedAge = 1200 * time.Millisecond
+	// maxTransfers is the number of large messages that are sent at a time.
+	maxTransfers = 2
 	// maxPushFailures is the number of consecutive failed pushes after which a
 	// daemon is assumed to have stopped if its instance is no longer published.
 	maxPushFailures = 2
@@ -215,6 +217,14 @@
 // it has reached. If its revision is not known, the first message requests it, and
 // the answer contains the changes that this daemon lacks.
 func (g *gossiper) syncPeer(ip string, p pushState, attempts int) (revision uint64, err error) {
+	var transfer *peer.Transfer
+	endTransfer := func() {
+		if transfer != nil {
+			g.transfers.End(transfer)
+		}
+		transfer = nil
+	}
+	defer endTransfer()
 	failed := 0
 	for round := 0; round < maxPushRounds; {
 		m := g.newMessage()
@@ -223,10 +233,26 @@
 			g.attachChanges(m, p.revision)
 		} else {
 			m.SetWant(!p.remote || g.reportedAge(time.Now()) > outdatedAge)
-			timeout = controlTimeout
+			if transfer == nil {
+				timeout = controlTimeout
+			}
+		}
+		if m.HasPacked() && transfer == nil {
+			var waited, repair bool
+			if transfer, waited, repair, err = g.beginTransfer(ip); err != nil {
+				return 0, err
+			}
+			if waited {
+				// There may be newer changes now, and others may have sent them to the
+				// daemon, unless it gets them from this one.
+				p.revisionKnown = !repair
+				continue
+			}
 		}
 		answer, err := g.peers.exchange(g.ctx, ip, timeout, m)
 		if err != nil {
+			// A daemon that does not answer must not hold up the transfers to others.
+			endTransfer()
 			if failed++; failed >= attempts {
 				return 0, fmt.Errorf("sync to revision %d: %w", m.GetRevision(), err)
 			}
@@ -242,6 +268,25 @@
 	return p.revision, nil
 }
 
+// beginTransfer waits until a large message may be sent to a daemon. It reports whether it had
+// to wait, and whether the daemon is none of this one's children in the distribution tree.
+func (g *gossiper) beginTransfer(ip string) (t *peer.Transfer, waited, repair bool, err error) {
+	repair = !slices.Contains(peer.Children(g.recipients(), g.self, treeFanout), ip)
+	t = g.transfers.Begin(repair)
+	select {
+	case <-t.Started():
+		return t, false, repair, nil
+	default:
+	}
+	select {
+	case <-t.Started():
+		return t, true, repair, nil
+	case <-g.ctx.Done():
+		g.transfers.End(t)
+		return nil, true, repair, fmt.Errorf("wait for other transfers: %w", context.Cause(g.ctx))
+	}
+}
+
 // broadcastCrash reports a request during which a backend server crashed to all
 // other daemons.
 func (g *gossiper) broadcastCrash(key backend.RequestKey) {
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -19,6 +19,7 @@
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/operator"
+	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/replica"
 	"github.com/lycheehead/lycheehead/pkg/table"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
@@ -52,6 +53,10 @@
 	if err != nil {
 		return nil, err
 	}
+	node.net.transmit(ctx, node, len(data))
+	if ctx.Err() != nil {
+		return nil, errTestNet
+	}
 	in, err := decodeControl(data)
 	if err != nil {
 		return nil, err
@@ -64,10 +69,33 @@
 		node.net.crossed += len(in.GetItems()) + len(out.GetItems())
 		node.net.mu.Unlock()
 	}
+	if data, err = encodeControl(out); err != nil {
+		return nil, err
+	}
+	node.net.transmit(ctx, to, len(data))
 	sleep(ctx, messageDelay)
 	return out, ctx.Err()
 }
 
+// transmit waits until the link of a daemon has sent a message, which waits behind those that
+// were sent before. The bytes of a message whose sender has given up are sent all the same.
+func (n *testNet) transmit(ctx context.Context, from *testNode, size int) {
+	n.mu.Lock()
+	if n.linkRate == 0 {
+		n.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	if from.linkFree.Before(now) {
+		from.linkFree = now
+	}
+	n.longestQueue = max(n.longestQueue, from.linkFree.Sub(now))
+	from.linkFree = from.linkFree.Add(time.Second * time.Duration(size) / time.Duration(n.linkRate))
+	wait := from.linkFree.Sub(now)
+	n.mu.Unlock()
+	sleep(ctx, wait)
+}
+
 func (node *testNode) ping(ctx context.Context, ip string) error {
 	_, err := node.exchange(ctx, ip, pingTimeout, &schema.Exchange{})
 	return err
@@ -127,7 +155,7 @@
 	rateBound := customer.NewRateBound(5*time.Second, 0.25, 20)
 	g := &gossiper{
 		fleetState: state, watcher: watcher, peers: node, self: node.ip, centre: node.centre,
-		quarantine: backend.NewQuarantine(), ctx: ctx, pushes: newPushTable(),
+		quarantine: backend.NewQuarantine(), ctx: ctx, pushes: newPushTable(), transfers: peer.NewTransfers(maxTransfers),
 	}
 	node.limiter = &rateLimiter{
 		fleetState: state, peers: node, self: node.ip, centre: node.centre, centreCount: node.net.centres,
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -81,7 +82,12 @@
 	silentRate float64
 	// processingDelay is the time that a daemon takes to process a message.
 	processingDelay time.Duration
-	store           *testStore
+	// linkRate is the number of bytes per second that the link of each daemon sends, or
+	// zero for no limit. longestQueue is the longest time that a message has waited for a
+	// link.
+	linkRate     int
+	longestQueue time.Duration
+	store        *testStore
 	// centres is the number of data centres.
 	centres int
 	// crossed is the number of store items in messages between data centres.
@@ -104,6 +110,8 @@
 	// running indicates that the process runs, storeReachable that it can reach the
 	// store, and partitioned that it can reach neither the store nor any other daemon.
 	running, storeReachable, partitioned bool
+	// linkFree is when the daemon's link will have sent all messages.
+	linkFree time.Time
 	// receivedAt is when the daemon received the last change of each key.
 	receivedAt map[string]time.Time
 }
@@ -159,6 +167,14 @@
 			key = "c/" + key
 		}
 		n.store.put(key, "", false)
+	case "storm": // storm key count gap size: changes of a key, to values of a size that cannot be compressed
+		n.publishStorm(t, step[1:])
+	case "links": // links N: the link of each daemon sends N bytes per second
+		n.mu.Lock()
+		n.linkRate = atoi(t, step[1])
+		n.mu.Unlock()
+	case "queues": // queues D: how long messages waited for a link, D at most
+		return n.checkQueues(t, step[1])
 	case "remove", "publish":
 		for _, name := range step[1:] {
 			n.store.put("i/"+name, n.nodes[name].ip+" "+n.nodes[name].centre, step[0] == "remove")
@@ -227,6 +243,44 @@
 	return ""
 }
 
+func atoi(t *testing.T, text string) int {
+	v, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func (n *testNet) publishStorm(t *testing.T, args []string) {
+	gap, err := time.ParseDuration(args[2])
+	if err != nil {
+		t.Fatal(err)
+	}
+	value := make([]byte, atoi(t, args[3]))
+	for range atoi(t, args[1]) {
+		for i := range value {
+			value[i] = byte(rand.Uint32())
+		}
+		n.store.put("c/"+args[0], string(value), false)
+		time.Sleep(gap)
+	}
+}
+
+func (n *testNet) checkQueues(t *testing.T, bound string) string {
+	limit, err := time.ParseDuration(bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	longest := n.longestQueue
+	n.longestQueue = 0
+	if longest > limit {
+		return longest.Round(time.Millisecond).String()
+	}
+	return "within the bound"
+}
+
 // reader returns the name of the daemon with a given rank among the readers of
 // a data centre.
 func (n *testNet) reader(t *testing.T, centre, rank string) string {
@@ -370,7 +424,7 @@
 			took := at.Sub(n.store.changedAt(key))
 			switch {
 			case !node.running || node.partitioned:
-			case !ok:
+			case !ok, took < 0:
 				late = append(late, fmt.Sprintf("%s did not receive %s", name, key))
 			case took > maxDelay:
 				late = append(late, fmt.Sprintf("%s received %s after %s", name, key, took.Round(time.Millisecond)))
