--- a/internal/sidecar/spread_store_test.go
+++ b/internal/sidecar/spread_store_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -54,10 +53,7 @@
 
 // checkCalls checks that the store was called at most bound times since the last check.
 func (s *testStore) checkCalls(t *testing.T, bound string) string {
-	limit, err := strconv.Atoi(bound)
-	if err != nil {
-		t.Fatal(err)
-	}
+	limit := atoi(t, bound)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.calls
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -223,10 +223,7 @@
 	case "calls":
 		return n.store.checkCalls(t, step[1])
 	case "crossed": // crossed N: at most N items crossed between data centres since the last time
-		limit, err := strconv.Atoi(step[1])
-		if err != nil {
-			t.Fatal(err)
-		}
+		limit := atoi(t, step[1])
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		crossed := n.crossed
@@ -284,10 +281,7 @@
 // reader returns the name of the daemon with a given rank among the readers of
 // a data centre.
 func (n *testNet) reader(t *testing.T, centre, rank string) string {
-	i, err := strconv.Atoi(rank)
-	if err != nil {
-		t.Fatal(err)
-	}
+	i := atoi(t, rank)
 	for _, node := range n.nodes {
 		if node.centre != centre || !node.running {
 			continue
@@ -336,10 +330,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rate, err := strconv.Atoi(args[1])
-	if err != nil {
-		t.Fatal(err)
-	}
+	rate := atoi(t, args[1])
 	var targets []*testNode
 	for _, name := range slices.Sorted(maps.Keys(n.nodes)) {
 		if node := n.nodes[name]; node.running && (slices.Contains(args[2:], node.centre) || slices.Contains(args[2:], name)) {
