Tell from logs and metrics which part of which limit refused a customer

Of a refusal for a limit the log said neither which part of the limit decided, nor which daemon, nor the limit in force, and no metric was kept by customer, so that the hypotheses on the starved customer could not be told apart.

- answered: part, holder, rate and burst for requests that a limit refused; explain prints them.
A grant says whether the reserve refused, and at which lessor.
- customer added, customer removed, customer limit changed: with version.
- lease changed: a daemon gets a lease, or has none any more, with the lessor.
- lycheehead_customer_requests by customer and reason, for the customers of the configuration in force, which bounds their number.

A change of message: TokenGrant has the field lessor; older daemons ignore it.

--- a/internal/explain/describe.go
+++ b/internal/explain/describe.go
@@ -44,6 +44,10 @@
 			add("customer %s", l.GetCustomer())
 		}
 		add("configuration version %d", l.GetVersion())
+		if l.GetPart() != "" {
+			add("limit of %g requests per second and burst of %g", l.GetRate(), l.GetBurst())
+			add("refused by the %s at %s", l.GetPart(), l.GetHolder())
+		}
 	case "placed":
 		add("forwarded to %s of %s", l.GetInstance(), l.GetService())
 		if !l.GetOffered() && l.GetOutcome() == caller.OutcomeNotRun.String() {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -337,6 +337,7 @@
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
 	if cfg := d.state.config.Load(); cfg != nil {
+		d.metrics.customers.sweep(cfg)
 		d.metrics.gauge("version", float64(cfg.Version()))
 	}
 }
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -98,6 +98,31 @@
 	s.config.Store(c.config)
 	s.events.stateChange("configuration version applied", "version", c.config.Version(),
 		"routes", c.config.RouteCount(), "customers", c.config.CustomerCount())
+	if old != nil {
+		s.logCustomerChanges(old, c.config)
+	}
+}
+
+// logCustomerChanges logs the customers whose limit or priority differs between two
+// successive configurations.
+func (s *fleetState) logCustomerChanges(old, current *operator.Config) {
+	log := func(text string, c operator.Customer) {
+		s.events.stateChange(text, "customer", c.Name(), "rate", c.Rate(), "burst", c.Burst(), "priority", c.Priority(), "version", current.Version())
+	}
+	for c := range current.Customers() {
+		before, ok := old.Customer(c.Name())
+		switch {
+		case !ok:
+			log("customer added", c)
+		case !c.SameLimit(before):
+			log("customer limit changed", c)
+		}
+	}
+	for c := range old.Customers() {
+		if _, ok := current.Customer(c.Name()); !ok {
+			log("customer removed", c)
+		}
+	}
 }
 
 func (c instanceChange) apply(now time.Time, s *fleetState) {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -61,8 +61,19 @@
 	attempts   int
 	refusal    caller.Reason
 	retryAfter time.Duration
-	// rateLimited indicates that the customer has a rate limit.
-	rateLimited bool
+	// customer is the customer for whom the request runs, and limit the decision whether
+	// it is within the customer's rate limit.
+	customer operator.Customer
+	limit    limitDecision
+}
+
+// logFields returns the fields of a log line that say for which limit a request was
+// refused, and by which daemon.
+func (d ingressDecision) logFields() []any {
+	if d.limit.reason == caller.ReasonNone {
+		return nil
+	}
+	return []any{"part", string(d.limit.part), "holder", d.limit.holder, "rate", d.customer.Rate(), "burst", d.customer.Burst()}
 }
 
 // ServeHTTP implements http.Handler.
@@ -76,10 +87,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	in.metrics.recordResponse(decision.request, resp, time.Since(begin))
-	in.events.request(classOf(resp.outcome, logs.Refusal), "answered", meta.ID(), "method", r.Method, "route", decision.request.route,
+	in.events.request(classOf(resp.outcome, logs.Refusal), "answered", meta.ID(), append([]any{
+		"method", r.Method, "route", decision.request.route,
 		"service", decision.request.service, "customer", decision.request.customer, "outcome", resp.outcome.String(),
 		"reason", string(resp.reason), "status", resp.status, "instance", resp.instance, "tries", resp.attempts,
-		"took", time.Since(begin).Round(time.Microsecond).String(), "version", decision.request.configVersion)
+		"took", time.Since(begin).Round(time.Microsecond).String(), "version", decision.request.configVersion,
+	}, decision.logFields()...)...)
 	in.writeResponse(w, resp)
 }
 
@@ -95,9 +108,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), decision.request.deadline)
 	defer cancel()
-	if decision.rateLimited {
-		if reason, retryAfter := in.limiter.allow(ctx, decision.request.customer); reason != caller.ReasonNone {
-			return decision, refusedResponse(reason, jitter(max(retryAfter, minRetryAfter)))
+	if decision.customer.Limited() {
+		if decision.limit = in.limiter.allow(ctx, decision.customer.Name()); decision.limit.reason != caller.ReasonNone {
+			return decision, refusedResponse(decision.limit.reason, jitter(max(decision.limit.retryAfter, minRetryAfter)))
 		}
 	}
 	if limit := cfg.Limits().MaxBodyBytes(); limit > 0 && r.ContentLength > limit {
@@ -151,9 +164,9 @@
 		decision.refusal = caller.ReasonInvalidKey
 		return decision
 	}
+	decision.customer = customer
 	decision.request.customer = customer.Name()
 	decision.request.priority = backend.NewPriority(!known, customer.Priority(), route.Priority())
-	decision.rateLimited = known && customer.Limited()
 	return decision
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -19,10 +19,14 @@
 	scope   tally.Scope
 	closer  io.Closer
 	handler http.Handler
+	// customers counts the responses by customer.
+	customers *customerCounts
 }
 
 func newMetrics() *metrics {
 	registry := promclient.NewRegistry()
+	customers := newCustomerCounts()
+	registry.MustRegister(customers)
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer:       registry,
 		Gatherer:         registry,
@@ -35,7 +39,7 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &metrics{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	return &metrics{scope: scope, closer: closer, handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), customers: customers}
 }
 
 func (m *metrics) close() error { return m.closer.Close() } //nolint:wrapcheck // nothing to add
@@ -49,6 +53,9 @@
 	})
 	s.Counter("requests").Inc(1)
 	s.Timer("latency").Record(latency)
+	if req.customer != "" {
+		m.customers.record(req.customer, resp.reason)
+	}
 }
 
 func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- a/internal/sidecar/rate_limiter.go
+++ b/internal/sidecar/rate_limiter.go
@@ -207,52 +207,81 @@
 	return customer.NewLimit(name, c.Rate(), c.Burst(), l.centreCount), ok
 }
 
-// allow returns ReasonNone if a request of a customer is within its limit.
-// Otherwise it returns the reason for a refusal and the time after which the caller
-// may retry.
-func (l *rateLimiter) allow(ctx context.Context, name string) (caller.Reason, time.Duration) {
+// limitPart is the part of a limit that decided on a request.
+type limitPart string
+
+const (
+	// partCache is the memory of a refusal at the daemon that received the request.
+	partCache limitPart = "cache"
+	// partBucket is the bucket of the data centre.
+	partBucket limitPart = "bucket"
+	// partReserve is the reserve of the fleet.
+	partReserve limitPart = "reserve"
+)
+
+// limitDecision is the decision whether a request is within its customer's limit. The
+// zero value admits the request.
+type limitDecision struct {
+	reason     caller.Reason
+	retryAfter time.Duration
+	// part is the part of the limit that refused the request, and holder the daemon
+	// that holds it.
+	part   limitPart
+	holder string
+}
+
+// loan is the answer to a request for tokens. If there are none, reason, part and holder
+// say why.
+type loan struct {
+	customer.Grant
+	reason caller.Reason
+	part   limitPart
+	holder string
+}
+
+// allow decides whether a request of a customer is within its limit.
+func (l *rateLimiter) allow(ctx context.Context, name string) limitDecision {
 	now := time.Now()
 	t := l.tokenCache.Take(now, name)
 	switch {
 	case t.OK() && t.FetchCount() > 0:
 		l.events.spawn(func() { l.prefetch(name, t.FetchCount()) })
-		return caller.ReasonNone, 0
+		return limitDecision{}
 	case t.OK():
-		return caller.ReasonNone, 0
+		return limitDecision{}
 	case t.FetchCount() > 0:
 		return l.acquire(ctx, now, name, t.FetchCount(), 1)
 	case t.OverLimit():
-		return caller.ReasonRateLimited, t.RetryAfter()
+		return limitDecision{reason: caller.ReasonRateLimited, retryAfter: t.RetryAfter(), part: partCache, holder: l.self}
 	}
-	return caller.ReasonLimitUnknown, t.RetryAfter()
+	return limitDecision{reason: caller.ReasonLimitUnknown, retryAfter: t.RetryAfter(), part: partCache, holder: l.self}
 }
 
 // prefetch borrows tokens for future requests.
-func (l *rateLimiter) prefetch(name string, n int) { _, _ = l.acquire(l.ctx, time.Now(), name, n, 0) }
+func (l *rateLimiter) prefetch(name string, n int) { l.acquire(l.ctx, time.Now(), name, n, 0) }
 
 // acquire borrows n tokens for the cache, of which spent are spent at once. If no
-// token was granted, it returns the reason and the time after which the caller may
-// retry.
-func (l *rateLimiter) acquire(ctx context.Context, now time.Time, name string, n, spent int) (caller.Reason, time.Duration) {
-	g, reason := l.borrow(ctx, now, name, n)
-	l.tokenCache.AddGrant(now, name, g, min(spent, g.Count()), spent == 0)
+// token was granted, it returns why, and the time after which the caller may retry.
+func (l *rateLimiter) acquire(ctx context.Context, now time.Time, name string, n, spent int) limitDecision {
+	g := l.borrow(ctx, now, name, n)
+	l.tokenCache.AddGrant(now, name, g.Grant, min(spent, g.Count()), spent == 0)
 	if g.Count() > 0 {
-		return caller.ReasonNone, 0
+		return limitDecision{}
 	}
-	l.tokenCache.MarkEmpty(time.Now(), name, g.RetryAfter(), reason == caller.ReasonRateLimited)
-	return reason, g.RetryAfter()
+	l.tokenCache.MarkEmpty(time.Now(), name, g.RetryAfter(), g.reason == caller.ReasonRateLimited)
+	return limitDecision{reason: g.reason, retryAfter: g.RetryAfter(), part: g.part, holder: g.holder}
 }
 
 // borrow requests tokens from the owner of the bucket, or from the reserve if
 // the owner does not answer.
-func (l *rateLimiter) borrow(ctx context.Context, now time.Time, name string, n int) (customer.Grant, caller.Reason) {
+func (l *rateLimiter) borrow(ctx context.Context, now time.Time, name string, n int) loan {
 	owner := l.bucketOwner(name)
 	if owner == l.self {
 		return l.lend(ctx, now, name, n)
 	}
 	grant, err := l.requestTokens(ctx, owner, borrowTimeout, name, n, false)
 	if err == nil {
-		return decodeGrant(grant)
+		return decodeLoan(grant, partBucket, owner)
 	}
 	l.events.stateChange("bucket owner did not answer", "customer", name, "at", owner, "error", err.Error())
 	return l.borrowReserve(ctx, now, name)
@@ -260,25 +289,26 @@
 
 // lend takes tokens from the bucket of this daemon, or one token from the reserve
 // if the bucket is empty.
-func (l *rateLimiter) lend(ctx context.Context, now time.Time, name string, n int) (customer.Grant, caller.Reason) {
+func (l *rateLimiter) lend(ctx context.Context, now time.Time, name string, n int) loan {
 	limit, ok := l.limitOf(name)
 	if !ok {
-		return customer.Grant{}, caller.ReasonLimitUnknown
+		return loan{reason: caller.ReasonLimitUnknown, part: partBucket, holder: l.self}
 	}
 	g, tryReserve := l.quota.Lend(now, limit, l.ownedSince(now, name), n)
 	if !tryReserve {
-		return g, caller.ReasonRateLimited
+		return loan{Grant: g, reason: caller.ReasonRateLimited, part: partBucket, holder: l.self}
 	}
-	r, reason := l.borrowReserve(ctx, now, name)
+	r := l.borrowReserve(ctx, now, name)
 	if r.Count() > 0 {
-		return r, caller.ReasonNone
+		return r
 	}
 	l.quota.MarkReserveEmpty(time.Now(), name, r.RetryAfter())
-	return g, reason
+	r.Grant = g
+	return r
 }
 
 // borrowReserve requests a token of a customer's reserve from the lessor.
-func (l *rateLimiter) borrowReserve(ctx context.Context, now time.Time, name string) (customer.Grant, caller.Reason) {
+func (l *rateLimiter) borrowReserve(ctx context.Context, now time.Time, name string) loan {
 	lessor := l.lessor(name)
 	if lessor == l.self {
 		return l.lendReserve(now, name)
@@ -286,17 +316,17 @@
 	grant, err := l.requestTokens(ctx, lessor, reserveTimeout, name, 1, true)
 	if err != nil {
 		l.events.stateChange("reserve lessor did not answer", "customer", name, "at", lessor, "error", err.Error())
-		return customer.NewGrant(0, 0, reserveTimeout), caller.ReasonLimitUnknown
+		return loan{Grant: customer.NewGrant(0, 0, reserveTimeout), reason: caller.ReasonLimitUnknown, part: partReserve, holder: lessor}
 	}
-	return decodeGrant(grant)
+	return decodeLoan(grant, partReserve, lessor)
 }
 
-func (l *rateLimiter) lendReserve(now time.Time, name string) (customer.Grant, caller.Reason) {
+func (l *rateLimiter) lendReserve(now time.Time, name string) loan {
 	limit, ok := l.limitOf(name)
 	if !ok {
-		return customer.Grant{}, caller.ReasonLimitUnknown
+		return loan{reason: caller.ReasonLimitUnknown, part: partReserve, holder: l.self}
 	}
-	return l.allocator.LendReserve(now, limit), caller.ReasonRateLimited
+	return loan{Grant: l.allocator.LendReserve(now, limit), reason: caller.ReasonRateLimited, part: partReserve, holder: l.self}
 }
 
 var errUnreachable = errors.New("daemon is marked unreachable")
@@ -330,28 +360,38 @@
 
 // handleTokenRequest answers another daemon's request for tokens.
 func (l *rateLimiter) handleTokenRequest(now time.Time, r *schema.TokenRequest) *schema.TokenGrant {
-	var g customer.Grant
-	var reason caller.Reason
+	var g loan
 	if r.GetReserve() {
-		g, reason = l.lendReserve(now, r.GetCustomer())
+		g = l.lendReserve(now, r.GetCustomer())
 	} else {
-		g, reason = l.lend(l.ctx, now, r.GetCustomer(), int(r.GetTokens()))
+		g = l.lend(l.ctx, now, r.GetCustomer(), int(r.GetTokens()))
 	}
-	return schema.TokenGrant_builder{
+	m := schema.TokenGrant_builder{
 		Tokens:   proto.Uint32(uint32(g.Count())),
 		Validity: proto.Int64(g.Validity().Microseconds()),
 		Again:    proto.Int64(g.RetryAfter().Microseconds()),
-		Over:     proto.Bool(reason == caller.ReasonRateLimited),
+		Over:     proto.Bool(g.reason == caller.ReasonRateLimited),
 	}.Build()
+	if g.part == partReserve {
+		m.SetLessor(g.holder)
+	}
+	return m
 }
 
-func decodeGrant(m *schema.TokenGrant) (customer.Grant, caller.Reason) {
-	g := customer.NewGrant(int(m.GetTokens()), time.Duration(m.GetValidity())*time.Microsecond,
-		time.Duration(m.GetAgain())*time.Microsecond)
+// decodeLoan decodes the answer of a daemon that was asked for tokens of a part of a limit.
+func decodeLoan(m *schema.TokenGrant, part limitPart, holder string) loan {
+	g := loan{
+		Grant: customer.NewGrant(int(m.GetTokens()), time.Duration(m.GetValidity())*time.Microsecond,
+			time.Duration(m.GetAgain())*time.Microsecond),
+		reason: caller.ReasonLimitUnknown, part: part, holder: holder,
+	}
 	if m.GetOver() {
-		return g, caller.ReasonRateLimited
+		g.reason = caller.ReasonRateLimited
+	}
+	if m.GetLessor() != "" {
+		g.part, g.holder = partReserve, m.GetLessor()
 	}
-	return g, caller.ReasonLimitUnknown
+	return g
 }
 
 // renewLeases records the demand reported by a daemon and returns its new leases.
@@ -375,9 +415,11 @@
 }
 
 // applyLeases applies the leases that another daemon granted.
-func (l *rateLimiter) applyLeases(now time.Time, leases []*schema.Share) {
+func (l *rateLimiter) applyLeases(now time.Time, lessor string, leases []*schema.Share) {
 	for _, lease := range leases {
-		l.quota.SetLease(now, lease.GetCustomer(), lease.GetPart())
+		if old := l.quota.SetLease(now, lease.GetCustomer(), lease.GetPart()); (old > 0) != (lease.GetPart() > 0) {
+			l.events.stateChange("lease changed", "customer", lease.GetCustomer(), "from", old, "to", lease.GetPart(), "by", lessor)
+		}
 	}
 }
 
@@ -409,7 +451,7 @@
 // lessor, and applies the leases that it receives.
 func (l *rateLimiter) sendDemand(now time.Time, lessor string, m *schema.Exchange) {
 	if lessor == l.self {
-		l.applyLeases(now, l.renewLeases(now, m))
+		l.applyLeases(now, l.self, l.renewLeases(now, m))
 		return
 	}
 	answer, err := l.peers.exchange(l.ctx, lessor, controlTimeout, m)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -265,6 +265,12 @@
 		return fmt.Sprintf("%d\n", resp.StatusCode)
 	case "log": // log text: counts the lines that contain a message
 		return fmt.Sprintf("%d lines\n", strings.Count(f.out.String(), `"@message":"`+strings.Join(args[1:], " ")+`"`))
+	case "metric": // metric m1 text: prints the metrics that contain a text, sorted
+		return f.metrics(args[1], args[2])
+	case "limits": // limits n rate: configuration n, with a rate limit
+		n, _ := strconv.Atoi(args[1])
+		text := fmt.Sprintf(configFormat, n, callerKey)
+		f.store.put("op/config", strings.ReplaceAll(text, `"rate-per-s":1000`, `"rate-per-s":`+args[2]), false)
 	case "oddconfig":
 		f.store.put("op/config", `{"config-version":"ff","x":`+strings.Repeat("[", 200_000), false)
 	case "evacuate":
@@ -472,6 +478,24 @@
 	return strings.TrimSpace(out) + "\n"
 }
 
+// metrics returns the metrics of a daemon that contain a text.
+func (f *testFleet) metrics(machine, text string) string {
+	resp, err := http.Get("http://" + addressOf(machine, portControl) + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	lines := slices.DeleteFunc(strings.SplitAfter(string(body), "\n"), func(line string) bool {
+		return !strings.HasPrefix(line, text)
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "")
+}
+
 func (f *testFleet) drainSeen() string {
 	var out strings.Builder
 	for n := range 9 {
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -346,7 +346,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
 			begin := time.Now()
-			reason, _ := targets[i%len(targets)].limiter.allow(ctx, testCustomer)
+			reason := targets[i%len(targets)].limiter.allow(ctx, testCustomer).reason
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			if time.Since(begin) > delayedThreshold {
--- a/pkg/customer/quota.go
+++ b/pkg/customer/quota.go
@@ -120,12 +120,15 @@
 }
 
 // SetLease sets the fraction of a customer's limit that is leased to this daemon, as
-// Allocator.Renew returned it. The lease expires after 12 s unless it is set again.
-func (q *Quota) SetLease(now time.Time, name string, fraction float64) {
+// Allocator.Renew returned it, and returns the fraction that was leased before. The lease
+// expires after 12 s unless it is set again.
+func (q *Quota) SetLease(now time.Time, name string, fraction float64) (old float64) {
 	q.customers.Update(name, func(s quotaState, _ bool) (quotaState, bool) {
+		old = s.activeLease(now)
 		s.leased, s.leasedAt = fraction, now
 		return s, true
 	})
+	return old
 }
 
 // EachDemand calls visit for each customer that has a lease or needs one, because its
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"iter"
+	"maps"
 	"strings"
 	"time"
 )
@@ -112,6 +114,9 @@
 // CustomerCount returns the number of customers.
 func (c *Config) CustomerCount() int { return len(c.customers) }
 
+// Customers returns the customers, in no particular order.
+func (c *Config) Customers() iter.Seq[Customer] { return maps.Values(c.customers) }
+
 // RouteCount returns the number of routes.
 func (c *Config) RouteCount() int { return len(c.routes) }
 
--- a/pkg/operator/customer.go
+++ b/pkg/operator/customer.go
@@ -44,5 +44,10 @@
 // Burst returns the burst in requests.
 func (c Customer) Burst() float64 { return c.burst }
 
+// SameLimit reports whether two customers have the same rate limit, burst and priority.
+func (c Customer) SameLimit(o Customer) bool {
+	return c.rate == o.rate && c.burst == o.burst && c.priority == o.priority
+}
+
 // Limited reports whether the customer has a rate limit.
 func (c Customer) Limited() bool { return c.rate > 0 }
