Give each data centre a part of every limit that has room for it

What callers saw: customers with a limit of middle size (6 to 35 requests a second with four data centres) were refused everywhere but in one data centre while that one was cut off, and after their daemons had restarted they got nothing at all there: 429 and 503 limit-unknown.

Cause: a data centre owned a part of a limit only if that part of the bucket had a size of two tokens. The size is what the bound leaves beside a flow of 1.4 times the rate, and it is smallest for limits of middle size (17.6 tokens, of which 1.97 for each data centre). Such a limit was shared as a whole, by leases and a reserve of one daemon of the fleet. Whoever could not reach that daemon had its lease for 12 s at most, and nothing after a restart or a change of the bucket's owner. A single point of failure, chosen by the customer's name.

Its leases ended when its buckets' owners changed.

Fix: the flow gives way to the size of the bucket, down to 1.1 times the rate, and above 1.4 times where the tolerance has room, so that each data centre owns a part in which tokens accrue. It owns 0.55 divided by their number, up to 0.8 where there are many. What no split can give (8 requests a second and less with 19 data centres, whose bound is less than a token each) stays shared. The bound is kept as before: parts, leases and reserve sum to one.

Figures of TestStarvedCustomer before: limits of 10, 16 and 25 with three of four data centres cut off from the lessor 0 % admitted, 10, 25 and 60 with 19 data centres 0 %.

--- a/pkg/customer/bound.go
+++ b/pkg/customer/bound.go
@@ -27,18 +27,27 @@
 	// covers requests that arrive later than they were admitted, and the time in which
 	// two daemons may both lend the tokens that a data centre owns.
 	usableFraction = 0.92
-	// rateFactor multiplies a limit's rate: requests arrive in bursts, and leases
-	// follow the demand with a delay.
-	rateFactor = 1.4
+	// minRateFactor and maxRateFactor bound the ratio of the rate at which tokens are
+	// issued to the limit's rate. Requests arrive in bursts, and leases follow the demand
+	// with a delay.
+	minRateFactor = 1.1
+	maxRateFactor = 2
+	// sharedRateFactor is that ratio for limits of which no data centre owns a part.
+	sharedRateFactor = 1.4
 	// sustainedFraction is the largest fraction of a window's bound that is issued
 	// at a steady rate; the rest is the bucket's size.
 	sustainedFraction = 0.93
 	// ownedFraction is the fraction of each limit that is divided evenly among the
-	// data centres and used without coordination; the rest is shared.
-	ownedFraction = 0.45
-	// minOwnedTokens is the least size of a data centre's bucket. A limit too small
-	// for it is shared as a whole.
-	minOwnedTokens = 2
+	// data centres and used without coordination; the rest is shared. It may be up to
+	// maxOwnedFraction if each data centre needs that for minOwnedTokens.
+	ownedFraction    = 0.55
+	maxOwnedFraction = 0.8
+	// ownedTokens is the size of a data centre's bucket below which the rate is reduced
+	// in favour of the size.
+	ownedTokens = 2.5
+	// minOwnedTokens is the least size of a data centre's bucket, in which a token needs
+	// room to accrue. Limits too small for it are shared as a whole.
+	minOwnedTokens = 1.25
 )
 
 // bucketParams describes a bound as a token bucket.
@@ -55,17 +64,30 @@
 // regardless of which daemons spend the tokens.
 func (r RateBound) bucketParams(l Limit) bucketParams {
 	bound := ((l.rate*r.length.Seconds()+l.burst)*(1+r.relativeTolerance) + r.absoluteTolerance) * usableFraction
-	p := bucketParams{rate: math.Min(l.rate*rateFactor, bound*sustainedFraction/r.length.Seconds()), centres: l.centres}
-	p.size = bound - p.rate*r.length.Seconds()
+	centres := float64(l.centres)
+	size := ownedTokens * centres / ownedFraction
+	rate := min((bound-size)/r.length.Seconds(), l.rate*maxRateFactor)
+	p := r.splitBound(bound, max(rate, l.rate*minRateFactor))
+	p.centres = l.centres
 	switch {
 	case l.centres == 1:
 		p.owned = 1
-	case l.centres > 1 && p.size*ownedFraction/float64(l.centres) >= minOwnedTokens:
-		p.owned = ownedFraction / float64(l.centres)
+	case l.centres > 1 && p.size*maxOwnedFraction >= minOwnedTokens*centres:
+		p.owned = max(ownedFraction/centres, minOwnedTokens/p.size)
+	default:
+		p = r.splitBound(bound, l.rate*sharedRateFactor)
+		p.centres = l.centres
 	}
 	return p
 }
 
+// splitBound splits the bound of a window between a steady rate, at most the given one,
+// and the size of the bucket.
+func (r RateBound) splitBound(bound, rate float64) bucketParams {
+	rate = min(rate, bound*sustainedFraction/r.length.Seconds())
+	return bucketParams{rate: rate, size: bound - rate*r.length.Seconds()}
+}
+
 // shared returns the fraction of the bucket that no data centre owns.
 func (p bucketParams) shared() float64 { return math.Max(0, 1-p.owned*float64(p.centres)) }
 
--- a/pkg/customer/doc.go
+++ b/pkg/customer/doc.go
@@ -37,7 +37,9 @@
 //
 // # Leases
 //
-// Each data centre owns a fixed fraction of a limit. The rest is shared: part of it is
+// Each data centre owns a fixed fraction of a limit, which it lends whether or not other
+// data centres can be reached. Only of limits that are too small for the number of data
+// centres does none own a part. The rest is shared: part of it is
 // leased to daemons according to their demand, for some seconds, and part is the
 // reserve, which is lent in single tokens. For each customer, one daemon of a data
 // centre lends the tokens of its fraction and its lease from a Quota, and one daemon
