Limit large answers like the other large messages

Cause: peer.Transfers limited the large messages that a daemon sends, but not its answers to daemons that ask for changes. In the storm of spread/links messages waited up to 250 ms for a link where 200 are allowed. Real daemons decode answers.

Fix: a large answer takes the place of a repair, or is left out. A daemon without any content is answered at once.

gossiper.handle returns the transfer that its caller has to end.

--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -97,25 +97,55 @@
 		http.Error(w, "not a control message", http.StatusBadRequest)
 		return
 	}
-	body, err := encodeControl(g.handle(time.Now(), m))
+	answer, transfer := g.handle(time.Now(), m)
+	if transfer != nil {
+		// A daemon that does not read the answer must not hold up the transfers to others.
+		end := time.AfterFunc(pushTimeout, func() { g.transfers.End(transfer) })
+		defer func() {
+			if end.Stop() {
+				g.transfers.End(transfer)
+			}
+		}()
+	}
+	body, err := encodeControl(answer)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	writeBody(w, http.StatusOK, body)
 }
 
-// handle processes a control message and returns the answer to it.
-func (g *gossiper) handle(now time.Time, m *schema.Exchange) *schema.Exchange {
+// handle processes a control message and returns the answer to it. If transfer is not nil,
+// the caller must end it once the answer has been sent.
+func (g *gossiper) handle(now time.Time, m *schema.Exchange) (answer *schema.Exchange, transfer *peer.Transfer) {
 	behind := g.receive(now, m)
-	out := g.newMessage()
+	answer = g.newMessage()
 	if behind && m.GetWant() {
-		g.attachChanges(out, m.GetRevision())
+		transfer = g.answerChanges(answer, m.GetRevision())
 	}
-	out.SetShares(g.limiter.renewLeases(now, m))
+	answer.SetShares(g.limiter.renewLeases(now, m))
 	if m.HasBorrow() {
-		out.SetLent(g.limiter.handleTokenRequest(now, m.GetBorrow()))
+		answer.SetLent(g.limiter.handleTokenRequest(now, m.GetBorrow()))
 	}
-	return out
+	return answer, transfer
+}
+
+// answerChanges adds the changes after a revision to the answer to a daemon that asked for
+// them. While other large messages take the link, a large answer is left out: the daemon
+// gets the changes along the distribution tree, or asks another one. Only a daemon without
+// any content gets it at once, since it cannot serve requests before.
+func (g *gossiper) answerChanges(answer *schema.Exchange, after uint64) *peer.Transfer {
+	g.attachChanges(answer, after)
+	if !answer.HasPacked() || after == 0 {
+		return nil
+	}
+	transfer, ok := g.transfers.TryBegin()
+	if !ok {
+		answer.ClearPacked()
+		answer.ClearAfter()
+		answer.ClearWhole()
+		return nil
+	}
+	return transfer
 }
 
 // run syncs periodically with a random daemon until ctx ends.
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -63,7 +63,10 @@
 	}
 	now := time.Now()
 	sleep(ctx, processingDelay)
-	out := to.gossiper.handle(now, in)
+	out, transfer := to.gossiper.handle(now, in)
+	if transfer != nil {
+		defer to.gossiper.transfers.End(transfer)
+	}
 	if to.centre != node.centre {
 		node.net.mu.Lock()
 		node.net.crossed += len(in.GetItems()) + len(out.GetItems())
@@ -74,7 +77,10 @@
 	}
 	node.net.transmit(ctx, to, len(data))
 	sleep(ctx, messageDelay)
-	return out, ctx.Err()
+	if ctx.Err() != nil {
+		return nil, errTestNet
+	}
+	return decodeControl(data)
 }
 
 // transmit waits until the link of a daemon has sent a message, which waits behind those that
--- a/pkg/peer/transfers.go
+++ b/pkg/peer/transfers.go
@@ -53,6 +53,21 @@
 	return added
 }
 
+// TryBegin starts a transfer that is not along the broadcast tree, unless it would have to
+// wait. The caller must call End once it has been sent.
+func (t *Transfers) TryBegin() (*Transfer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.waiting) > 0 || t.running >= t.limit || t.repairs >= t.limit-1 {
+		return nil, false
+	}
+	started := &Transfer{repair: true, started: make(chan struct{})}
+	close(started.started)
+	t.running++
+	t.repairs++
+	return started, true
+}
+
 // Started returns a channel that is closed once the transfer may be sent.
 func (t *Transfer) Started() <-chan struct{} { return t.started }
 
--- a/pkg/peer/transfers_test.go
+++ b/pkg/peer/transfers_test.go
@@ -21,10 +21,15 @@
 		for line := range strings.SplitSeq(d.Input, "\n") {
 			f := strings.Fields(line)
 			for _, name := range f[1:] {
-				if f[0] == "end" {
+				switch f[0] {
+				case "end":
 					limit.End(open[name])
 					delete(open, name)
-				} else {
+				case "try":
+					if transfer, ok := limit.TryBegin(); ok {
+						open[name] = transfer
+					}
+				default:
 					open[name] = limit.Begin(f[0] == "repair")
 				}
 			}
