Let large bodies give way to small ones when memory for bodies runs out

What callers saw: while a faulty backend server sent bodies without end, requests of other callers on the same daemon failed for want of memory: responses of sound backend servers were lost (502), bodies of requests refused (503).

Cause: each body took memory from the budget as it grew, first come, first served. One body may have half of it, so two bodies without end held all of it until they failed at their limit, again and again.

Fix: if there is no memory for a body, the largest one that is still being read and would remain larger gives way: its connection is closed, and its request has an unknown outcome as before. A body without end grows until it is the largest.

New gauge bodies_evicted; Reserve and Release of http1.Budget are gone.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -273,7 +273,7 @@
 	if head.Request.Method == http.MethodHead {
 		length = 0
 	}
-	body, lease, err := c.budget.ReadBody(head.Body, length, c.budget.bodyLimit())
+	body, lease, err := c.budget.ReadBody(head.Body, length, c.budget.bodyLimit(), func() { _ = c.Close() })
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: read body: %w", ErrResponseLost, err)
 	}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync"
@@ -138,7 +140,7 @@
 	address := freeAddress(t)
 	budget := http1.NewBudget(4 << 20)
 	server, err := http1.ListenPipelined(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, lease, err := budget.ReadBody(r.Body, r.ContentLength, 1<<20)
+		_, lease, err := budget.ReadBody(r.Body, r.ContentLength, 1<<20, nil)
 		defer lease.Release()
 		if errors.Is(err, http1.ErrBodyTooLarge) {
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
@@ -183,3 +185,49 @@
 		t.Errorf("the heap grew by %d KiB", peak>>10)
 	}
 }
+
+// TestEndlessBeside guards against requests that fail for want of memory while servers send
+// bodies without end to other requests of the same process.
+func TestEndlessBeside(t *testing.T) {
+	const others = 100
+	body := strings.Repeat("b", 30<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "mine")
+		_, _ = io.WriteString(w, body)
+	}))
+	defer server.Close()
+	datadriven.RunTest(t, "testdata/beside", func(t *testing.T, d *datadriven.TestData) string {
+		var clients, budgetMiB int
+		d.ScanArgs(t, "clients", &clients)
+		d.ScanArgs(t, "budget", &budgetMiB)
+		var out strings.Builder
+		for kind := range strings.SplitSeq(d.Input, "\n") {
+			budget := http1.NewBudget(int64(budgetMiB) << 20)
+			faulty := http1.NewClient(serveEndless(t, endlessResponses[kind]), time.Second, clients).WithBudget(budget)
+			ctx, stop := context.WithCancel(context.Background())
+			var group sync.WaitGroup
+			for range clients {
+				group.Go(func() {
+					for ctx.Err() == nil {
+						_, _ = faulty.Do(ctx, newRequest("get"))
+					}
+				})
+			}
+			sound := http1.NewClient(strings.TrimPrefix(server.URL, "http://"), time.Second, 4).WithBudget(budget)
+			failed := 0
+			for range others {
+				resp, err := sound.Do(ctx, newRequest("get"))
+				if err != nil || len(resp.Body()) != len(body) {
+					failed++
+					continue
+				}
+				resp.Release()
+				time.Sleep(2 * time.Millisecond)
+			}
+			stop()
+			group.Wait()
+			fmt.Fprintf(&out, "%s: %d of %d other requests failed, memory returned: %t\n", kind, failed, others, budget.Used() == 0)
+		}
+		return out.String()
+	})
+}
--- a/internal/http1/read_body.go
+++ b/internal/http1/read_body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 )
 
 // minBodyBuffer is the initial size of the buffer for a body of unknown size.
@@ -13,39 +12,42 @@
 // Lease is a part of a Budget that is held until Release.
 type Lease struct {
 	budget *Budget
-	bytes  int64
-	once   sync.Once
+	// abort ends the reading of the body, nil if it cannot be ended.
+	abort func()
+	// bytes and evicted are guarded by the budget's lock. evicted states that the body had
+	// to give way while it was read.
+	bytes   int64
+	evicted bool
 }
 
 // Release returns the part to the budget. Calls after the first, and calls on nil, have no
 // effect.
 func (l *Lease) Release() {
 	if l != nil {
-		l.once.Do(func() { l.budget.Release(l.bytes) })
+		l.budget.release(l)
 	}
 }
 
 // Lease takes n bytes, or returns ErrBodyTooLarge if there are not that many.
 func (b *Budget) Lease(n int64) (*Lease, error) {
-	if !b.Reserve(n) {
+	l := &Lease{budget: b}
+	if !b.grow(l, n) {
 		return nil, fmt.Errorf("%w: no memory for %d bytes at present", ErrBodyTooLarge, n)
 	}
-	return &Lease{budget: b, bytes: n}, nil
+	return l, nil
 }
 
 // ReadBody reads a body of at most limit bytes. length is its declared size, or -1. The
-// memory is reserved as the body arrives, not as it is declared. The error is
-// ErrBodyTooLarge if the body exceeds the limit or the budget, and io.ErrUnexpectedEOF if
-// it is shorter than declared.
-func (b *Budget) ReadBody(r io.Reader, length, limit int64) ([]byte, *Lease, error) {
-	lease := &Lease{budget: b}
-	data, err := readAll(r, length, limit, func(n int64) bool {
-		if !b.Reserve(n) {
-			return false
-		}
-		lease.bytes += n
-		return true
-	})
+// memory is reserved as the body arrives, not as it is declared. abort makes r return an
+// error at once; it is called if the body has to give way to smaller ones. If it is nil, the
+// body does not give way. The error is ErrBodyTooLarge if the body exceeds the limit or the
+// budget, and io.ErrUnexpectedEOF if it is shorter than declared.
+func (b *Budget) ReadBody(r io.Reader, length, limit int64, abort func()) ([]byte, *Lease, error) {
+	lease := &Lease{budget: b, abort: abort}
+	data, err := readAll(r, length, limit, func(n int64) bool { return b.grow(lease, n) })
+	if !b.readEnd(lease) {
+		return nil, nil, fmt.Errorf("%w: it gave way to smaller ones", ErrBodyTooLarge)
+	}
 	if err != nil {
 		lease.Release()
 		return nil, nil, err
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -334,6 +334,7 @@
 	d.metrics.gauge("instances", float64(d.state.fleet.Size()))
 	d.metrics.gauge("body_bytes", float64(d.budget.Used()))
 	d.metrics.gauge("body_bytes_refused", float64(d.budget.Rejected()))
+	d.metrics.gauge("bodies_evicted", float64(d.budget.Evicted()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
 	if cfg := d.state.config.Load(); cfg != nil {
--- a/pkg/lock/order.go
+++ b/pkg/lock/order.go
@@ -41,6 +41,8 @@
 	Peers
 	// Connections guards the connections to other daemons and to HTTP servers.
 	Connections
+	// Memory guards the memory for bodies.
+	Memory
 	// Counters guards the counters of responses by customer.
 	Counters
 	// Logs guards the log buffer.
