Notice sooner that a store which was silent answers again

Cause: a watch of 2 s notices a silent store after 3.2 s. Daemons that took over from failed readers, and those readers' next attempts, began as long a watch again, so the store's return was noticed up to 3.2 s late.

Fix: the first watch of a daemon that begins to read, or whose last read failed, waits for 0.1 s, so it fails after 1.3 s.

--- a/internal/sidecar/spread_store_test.go
+++ b/internal/sidecar/spread_store_test.go
@@ -20,6 +20,9 @@
 	items       []replica.Item
 	changeTimes map[string]time.Time
 	unavailable bool
+	// silent states that no call is answered. Those of the time stay unanswered after it,
+	// as their connections remain silent.
+	silent bool
 	// calls is the number of calls since the last checkCalls.
 	calls int
 	// changed is closed at the next change.
@@ -72,10 +75,19 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *testStore) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *testStore) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+	outer := ctx
 	s.mu.Lock()
 	s.calls++
-	changed := s.changed
+	changed, silent := s.changed, s.silent
 	block := !s.unavailable && wait > 0 && int(after) == len(s.items)
 	s.mu.Unlock()
 	if block {
@@ -87,6 +99,11 @@
 		}
 	}
 	s.mu.Lock()
+	if silent || s.silent {
+		s.mu.Unlock()
+		<-outer.Done()
+		return nil, 0, ErrStoreUnavailable
+	}
 	defer s.mu.Unlock()
 	if s.unavailable {
 		return nil, 0, ErrStoreUnavailable
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -189,7 +189,11 @@
 		for _, name := range step[1:] {
 			n.store.put("i/"+name, n.nodes[name].ip+" "+n.nodes[name].centre, step[0] == "remove")
 		}
-	case "store":
+	case "store": // store away|back, or store silent|answers
+		if step[1] == "silent" || step[1] == "answers" {
+			n.store.setSilent(step[1] == "silent")
+			break
+		}
 		n.store.setUnavailable(step[1] == "away")
 	case "shut":
 		forEach(func(node *testNode) { node.storeReachable = false })
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -17,6 +17,10 @@
 	// watchWait is the maximum time for which one watch waits for changes. A
 	// stalled connection is detected after watchWait plus storeTimeout.
 	watchWait = 2 * time.Second
+	// firstWatchWait replaces watchWait for the first watch of a daemon that begins to read
+	// or whose last read failed, since the store may be silent: the next attempt, after the
+	// store has come back, must not wait for the end of a long watch.
+	firstWatchWait = 100 * time.Millisecond
 	// storeTimeout bounds a response of the store, not counting the time that a
 	// watch may wait.
 	storeTimeout = 1200 * time.Millisecond
@@ -185,9 +189,11 @@
 	if !w.storeUnreachable.Load() {
 		w.events.stateChange("watching store", "revision", w.replica.Revision())
 	}
+	wait := firstWatchWait
 	for ctx.Err() == nil && w.shouldRead(time.Now()) {
 		begin := time.Now()
-		err := w.watch(ctx)
+		err := w.watch(ctx, wait)
+		wait = watchWait
 		if errors.Is(err, ErrCompacted) {
 			w.events.stateChange("store history compacted, listing all items", "revision", w.replica.Revision())
 			err = w.list(ctx, true)
@@ -238,13 +244,13 @@
 	return nil
 }
 
-// watch waits for changes and applies them. The store's response confirms that,
+// watch waits for changes for the given time and applies them. The store's response confirms that,
 // apart from these changes, the replica is current.
-func (w *storeWatcher) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+storeTimeout)
+func (w *storeWatcher) watch(ctx context.Context, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
 	after := w.replica.Revision()
-	items, revision, err := w.source.Watch(ctx, watchPrefix, after, watchWait)
+	items, revision, err := w.source.Watch(ctx, watchPrefix, after, wait)
 	if err != nil {
 		return err //nolint:wrapcheck // the source's error describes what failed
 	}
