--- a/pkg/customer/quota_test.go
+++ b/pkg/customer/quota_test.go
@@ -19,7 +19,8 @@
 // from the daemon with the allocator, and changes of that daemon.
 func TestQuota(t *testing.T) {
 	fuzz.Run(t, "testdata/quota", map[string]fuzz.Property{
-		"window": func(t *rapid.T, broken bool) { runQuotaHistory(t, broken) },
+		"window": func(t *rapid.T, broken bool) { runQuotaHistory(t, broken, 3, 30, 300) },
+		"small":  func(t *rapid.T, broken bool) { runQuotaHistory(t, broken, 6, 10, 16, 35) },
 	})
 }
 
@@ -113,12 +114,12 @@
 	}
 }
 
-// runQuotaHistory runs one history. In a broken one, each daemon allocates leases
-// by itself.
-func runQuotaHistory(t *rapid.T, broken bool) {
+// runQuotaHistory runs one history with one of the rates. In a broken one, each daemon
+// allocates leases by itself.
+func runQuotaHistory(t *rapid.T, broken bool, rates ...float64) {
 	const length, relativeTolerance, absoluteTolerance = 5 * time.Second, 0.25, 20.0
 	h := &quotaHistory{bound: customer.NewRateBound(length, relativeTolerance, absoluteTolerance), broken: broken, now: time.Unix(1000, 0)}
-	rate := rapid.SampledFrom([]float64{3, 30, 300}).Draw(t, "rate")
+	rate := rapid.SampledFrom(rates).Draw(t, "rate")
 	burst := rate * rapid.SampledFrom([]float64{0.5, 1}).Draw(t, "burst")
 	h.limit = customer.NewLimit("customer-1", rate, burst, centres)
 	h.allocator = customer.NewAllocator(h.bound, true)
