Share the steps and the bound's check between the tests of limits

Found in a last reading of the change: TestStarvedCustomer had copies of TestQuota's borrowing, renewal and window check, setSilent one of setUnavailable's way to wake readers, and bucketParams set the number of data centres in two places.

--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -265,7 +265,7 @@
 		return fmt.Sprintf("%d\n", resp.StatusCode)
 	case "log": // log text: counts the lines that contain a message
 		return fmt.Sprintf("%d lines\n", strings.Count(f.out.String(), `"@message":"`+strings.Join(args[1:], " ")+`"`))
-	case "metric": // metric m1 text: prints the metrics that contain a text, sorted
+	case "metric": // metric m1 text: prints the metrics that begin with a text, sorted
 		return f.metrics(args[1], args[2])
 	case "limits": // limits n rate: configuration n, with a rate limit
 		n, _ := strconv.Atoi(args[1])
@@ -478,7 +478,7 @@
 	return strings.TrimSpace(out) + "\n"
 }
 
-// metrics returns the metrics of a daemon that contain a text.
+// metrics returns the lines of a daemon's metrics that begin with a text, sorted.
 func (f *testFleet) metrics(machine, text string) string {
 	resp, err := http.Get("http://" + addressOf(machine, portControl) + "/metrics")
 	if err != nil {
--- a/internal/sidecar/spread_store_test.go
+++ b/internal/sidecar/spread_store_test.go
@@ -44,6 +44,11 @@
 	}
 	s.items = append(s.items, i)
 	s.changeTimes[key] = time.Now()
+	s.wakeReaders()
+}
+
+// wakeReaders ends the waits of the watches. The caller holds mu.
+func (s *testStore) wakeReaders() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -71,16 +76,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unavailable = unavailable
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeReaders()
 }
 
 func (s *testStore) setSilent(silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = silent
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeReaders()
 }
 
 func (s *testStore) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
--- a/pkg/customer/bound.go
+++ b/pkg/customer/bound.go
@@ -67,25 +67,23 @@
 	centres := float64(l.centres)
 	size := ownedTokens * centres / ownedFraction
 	rate := min((bound-size)/r.length.Seconds(), l.rate*maxRateFactor)
-	p := r.splitBound(bound, max(rate, l.rate*minRateFactor))
-	p.centres = l.centres
+	p := r.splitBound(bound, max(rate, l.rate*minRateFactor), l.centres)
 	switch {
 	case l.centres == 1:
 		p.owned = 1
 	case l.centres > 1 && p.size*maxOwnedFraction >= minOwnedTokens*centres:
 		p.owned = max(ownedFraction/centres, minOwnedTokens/p.size)
 	default:
-		p = r.splitBound(bound, l.rate*sharedRateFactor)
-		p.centres = l.centres
+		p = r.splitBound(bound, l.rate*sharedRateFactor, l.centres)
 	}
 	return p
 }
 
 // splitBound splits the bound of a window between a steady rate, at most the given one,
-// and the size of the bucket.
-func (r RateBound) splitBound(bound, rate float64) bucketParams {
+// and the size of the bucket, of which no data centre owns a part.
+func (r RateBound) splitBound(bound, rate float64, centres int) bucketParams {
 	rate = min(rate, bound*sustainedFraction/r.length.Seconds())
-	return bucketParams{rate: rate, size: bound - rate*r.length.Seconds()}
+	return bucketParams{rate: rate, size: bound - rate*r.length.Seconds(), centres: centres}
 }
 
 // shared returns the fraction of the bucket that no data centre owns.
--- a/pkg/customer/quota_test.go
+++ b/pkg/customer/quota_test.go
@@ -86,12 +86,11 @@
 	if m.ownerUntil.Before(h.now) && !m.ownerUntil.IsZero() {
 		since = time.Time{}
 	}
-	g, askReserve := m.quota.Lend(h.now, h.limit, since, 2)
-	if askReserve && !m.partitioned {
-		if g = h.allocator.LendReserve(h.now, h.limit); g.Count() == 0 {
-			m.quota.MarkReserveEmpty(h.now, "customer-1", g.RetryAfter())
-		}
+	lessor := h.allocator
+	if m.partitioned {
+		lessor = nil
 	}
+	g := lendOrReserve(h.now, m.quota, lessor, h.limit, since, 2)
 	for range g.Count() {
 		h.admitted = append(h.admitted, h.now.Add(min(h.spendDelay, g.Validity())))
 	}
@@ -106,12 +105,41 @@
 		if h.broken {
 			allocator = m.allocator
 		}
-		reported, rate, held := false, 0.0, 0.0
-		m.quota.EachDemand(h.now, func(_ string, r, f float64) { reported, rate, held = true, r, f })
-		if reported {
-			m.quota.SetLease(h.now, "customer-1", allocator.Renew(h.now, h.limit, m.name, rate, held))
+		renewLease(h.now, m.quota, allocator, h.limit, m.name)
+	}
+}
+
+// lendOrReserve lends up to n tokens from a quota, or one of the lessor's reserve. lessor is
+// nil if it cannot be reached.
+func lendOrReserve(now time.Time, q *customer.Quota, lessor *customer.Allocator, l customer.Limit, since time.Time, n int) customer.Grant {
+	g, askReserve := q.Lend(now, l, since, n)
+	if askReserve && lessor != nil {
+		if g = lessor.LendReserve(now, l); g.Count() == 0 {
+			q.MarkReserveEmpty(now, "customer-1", g.RetryAfter())
 		}
 	}
+	return g
+}
+
+// renewLease reports a daemon's demand to the lessor, if there is any, and sets its lease.
+func renewLease(now time.Time, q *customer.Quota, lessor *customer.Allocator, l customer.Limit, daemon string) {
+	reported, rate, held := false, 0.0, 0.0
+	q.EachDemand(now, func(_ string, r, f float64) { reported, rate, held = true, r, f })
+	if reported {
+		q.SetLease(now, "customer-1", lessor.Renew(now, l, daemon, rate, held))
+	}
+}
+
+// peakInWindow returns the largest number of times within a window. The times are sorted.
+func peakInWindow(times []time.Time, length time.Duration) int {
+	peak, first := 0, 0
+	for last, at := range times {
+		for at.Sub(times[first]) >= length {
+			first++
+		}
+		peak = max(peak, last-first+1)
+	}
+	return peak
 }
 
 // runQuotaHistory runs one history with one of the rates. In a broken one, each daemon
@@ -165,14 +193,8 @@
 	})
 	slices.SortFunc(h.admitted, time.Time.Compare)
 	allowed := (rate*length.Seconds()+burst)*(1+relativeTolerance) + absoluteTolerance
-	first := 0
-	for last, at := range h.admitted {
-		for at.Sub(h.admitted[first]) >= length {
-			first++
-		}
-		if n := last - first + 1; float64(n) > allowed {
-			t.Fatalf("%d requests admitted within %s, want at most %g", n, length, allowed)
-		}
+	if n := peakInWindow(h.admitted, length); float64(n) > allowed {
+		t.Fatalf("%d requests admitted within %s, want at most %g", n, length, allowed)
 	}
 }
 
--- a/pkg/customer/starved_test.go
+++ b/pkg/customer/starved_test.go
@@ -60,7 +60,7 @@
 	for seed := range s.seeds {
 		h := newLoadHistory(s, rate, uint64(seed))
 		h.run()
-		if !withinBound(h.admittedAt, (rate*5+rate)*1.25+20) {
+		if float64(peakInWindow(h.admittedAt, 5*time.Second)) > (rate*5+rate)*1.25+20 {
 			return "beyond the bound"
 		}
 		admitted += 100 * h.admittedFraction() / float64(s.seeds)
@@ -74,12 +74,11 @@
 // loadHistory is one history of a customerLoad.
 type loadHistory struct {
 	customerLoad
-	random    *rand.Rand
-	bound     customer.RateBound
-	limit     customer.Limit
-	allocator *customer.Allocator
-	begin     time.Time
-	owners    []loadOwner
+	random *rand.Rand
+	bound  customer.RateBound
+	limit  customer.Limit
+	begin  time.Time
+	owners []loadOwner
 	// admittedAt holds the times of the admitted requests.
 	admittedAt []time.Time
 }
@@ -87,11 +86,12 @@
 // loadOwner is the daemon that owns the bucket of a data centre, with the requests that
 // the data centre has received and admitted.
 type loadOwner struct {
-	quota          *customer.Quota
+	quota *customer.Quota
+	// lessor is nil if it cannot be reached.
+	lessor         *customer.Allocator
 	since          time.Time
 	rate           float64
 	sent, admitted float64
-	reachesLessor  bool
 }
 
 const (
@@ -106,10 +106,10 @@
 	bound := customer.NewRateBound(5*time.Second, 0.25, 20)
 	h := &loadHistory{
 		customerLoad: s, bound: bound, begin: time.Unix(1000, 0),
-		random:    rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // a seeded test
-		limit:     customer.NewLimit("customer-1", rate, rate, s.centres),
-		allocator: customer.NewAllocator(bound, false),
+		random: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // a seeded test
+		limit:  customer.NewLimit("customer-1", rate, rate, s.centres),
 	}
+	lessor := customer.NewAllocator(bound, false)
 	total := 0.0
 	for c := range s.centres {
 		weight := 1.0
@@ -117,7 +117,11 @@
 			weight = h.random.ExpFloat64()
 		}
 		total += weight
-		h.owners = append(h.owners, loadOwner{quota: customer.NewQuota(bound), since: h.begin, rate: weight, reachesLessor: !s.cut || c == 0})
+		o := loadOwner{quota: customer.NewQuota(bound), since: h.begin, rate: weight}
+		if !s.cut || c == 0 {
+			o.lessor = lessor
+		}
+		h.owners = append(h.owners, o)
 	}
 	for c := range h.owners {
 		h.owners[c].rate *= rate * s.fraction / total
@@ -140,41 +144,21 @@
 		o.quota, o.since = customer.NewQuota(h.bound), now
 		return
 	}
-	if elapsed%renewalInterval == 0 && o.reachesLessor {
-		h.renewLease(now, centre)
+	if elapsed%renewalInterval == 0 && o.lessor != nil {
+		renewLease(now, o.quota, o.lessor, h.limit, fmt.Sprintf("owner-%d-%d", centre, o.since.UnixMilli()))
 	}
 	if elapsed < loadDelay {
 		return
 	}
 	for range poisson(h.random, o.rate*loadStep.Seconds()) {
 		o.sent++
-		if h.borrow(now, o) {
+		if lendOrReserve(now, o.quota, o.lessor, h.limit, o.since, 1).Count() > 0 {
 			o.admitted++
 			h.admittedAt = append(h.admittedAt, now)
 		}
 	}
 }
 
-func (h *loadHistory) renewLease(now time.Time, centre int) {
-	o := h.owners[centre]
-	rate, held, reported := 0.0, 0.0, false
-	o.quota.EachDemand(now, func(_ string, r, f float64) { rate, held, reported = r, f, true })
-	if reported {
-		name := fmt.Sprintf("owner-%d-%d", centre, o.since.UnixMilli())
-		o.quota.SetLease(now, "customer-1", h.allocator.Renew(now, h.limit, name, rate, held))
-	}
-}
-
-func (h *loadHistory) borrow(now time.Time, o *loadOwner) bool {
-	g, askReserve := o.quota.Lend(now, h.limit, o.since, 1)
-	if askReserve && o.reachesLessor {
-		if g = h.allocator.LendReserve(now, h.limit); g.Count() == 0 {
-			o.quota.MarkReserveEmpty(now, "customer-1", g.RetryAfter())
-		}
-	}
-	return g.Count() > 0
-}
-
 // admittedFraction returns the least fraction of a data centre's requests that were
 // admitted, or the fraction of all requests if the load is skewed.
 func (h *loadHistory) admittedFraction() float64 {
@@ -191,21 +175,6 @@
 	return least
 }
 
-// withinBound reports whether no window of 5 s contains more than the allowed number of
-// times.
-func withinBound(times []time.Time, allowed float64) bool {
-	first := 0
-	for last, at := range times {
-		for at.Sub(times[first]) >= 5*time.Second {
-			first++
-		}
-		if float64(last-first+1) > allowed {
-			return false
-		}
-	}
-	return true
-}
-
 // poisson returns a Poisson distributed number.
 func poisson(random *rand.Rand, mean float64) int {
 	n, p, limit := 0, 1.0, math.Exp(-mean)
