Say in the log how exchanges between daemons end and what a stop leaves unanswered

An attempt at another daemon whose outcome is unknown was logged without the error, so that a closed connection could not be told from a reset one, nor a kept one from a new one. A daemon that stops did not say how many requests it had read and not answered, nor how many connections it closed with a request on its way.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -81,6 +81,9 @@
 		if err != nil && reused && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
 			continue
 		}
+		if err != nil && reused {
+			err = fmt.Errorf("kept connection: %w", err)
+		}
 		if err != nil && ctx.Err() != nil {
 			return nil, fmt.Errorf("call %s: %w: %w", c.address, err, context.Cause(ctx))
 		}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -58,8 +58,21 @@
 	mu       *lock.Mutex
 	conns    map[*serverConn]struct{}
 	draining bool
+	closed   CloseCounts
 }
 
+// CloseCounts says what Shutdown ended without a response.
+type CloseCounts struct {
+	unread, cut int
+}
+
+// Unread returns the number of connections that were closed while bytes of a request were on
+// their way that had not been read.
+func (c CloseCounts) Unread() int { return c.unread }
+
+// Cut returns the number of requests that had been read and not been answered.
+func (c CloseCounts) Cut() int { return c.cut }
+
 // ConnLimits are the limits for the connections of clients. The zero value of a limit stands
 // for its default.
 type ConnLimits struct {
@@ -174,6 +187,20 @@
 	return list
 }
 
+func (s *PipelineServer) countClosed(n CloseCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed.unread += n.unread
+	s.closed.cut += n.cut
+}
+
+// CloseCounts returns what Shutdown has ended without a response so far.
+func (s *PipelineServer) CloseCounts() CloseCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 // Shutdown implements Server. Requests that have been read are answered, and the last
 // response of each connection says that it is closed.
 func (s *PipelineServer) Shutdown(ctx context.Context) error {
@@ -192,6 +219,9 @@
 		case <-ctx.Done():
 		}
 	}
+	for _, c := range s.openConns() {
+		s.countClosed(CloseCounts{cut: c.openRequests()})
+	}
 	s.cancel()
 	for _, c := range s.openConns() {
 		_ = c.raw.Close()
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -284,6 +284,9 @@
 	case "stopped":
 		select {
 		case <-s.stopped:
+			if n := s.server.CloseCounts(); n.Cut()+n.Unread() > 0 {
+				return fmt.Sprintf("  stopped, %d cut, %d unread\n", n.Cut(), n.Unread())
+			}
 			return "  stopped\n"
 		case <-time.After(2 * time.Second):
 			return "  still running\n"
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -265,10 +265,20 @@
 	}
 	c.mu.Unlock()
 	if idle {
+		if unread(c.raw) {
+			c.server.countClosed(CloseCounts{unread: 1})
+		}
 		_ = c.raw.Close()
 	}
 }
 
+// openRequests returns the number of requests that have not been answered.
+func (c *serverConn) openRequests() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
 // lastResponse reports whether the connection ends with the response to e, and makes
 // it so if e requires that and no other request has been accepted.
 func (c *serverConn) lastResponse(e *exchange, closeAfter bool) bool {
--- a/internal/http1/sockopt.go
+++ b/internal/http1/sockopt.go
@@ -35,21 +35,31 @@
 	return max(n, 0), errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
 }
 
-// ended reports whether the peer has ended a connection on which nothing is left to read. It
-// may be called while another goroutine uses the connection.
-func ended(c net.Conn) bool {
+// inspect returns what peek returns for a connection. It may be called while another goroutine
+// uses the connection.
+func inspect(c net.Conn) (n int, open bool) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, true
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return 0, false
 	}
-	gone := false
-	err = raw.Control(func(fd uintptr) {
-		n, open := peek(fd)
-		gone = n == 0 && !open
-	})
-	return err != nil || gone
+	if err := raw.Control(func(fd uintptr) { n, open = peek(fd) }); err != nil {
+		return 0, false
+	}
+	return n, open
+}
+
+// ended reports whether the peer has ended a connection on which nothing is left to read.
+func ended(c net.Conn) bool {
+	n, open := inspect(c)
+	return n == 0 && !open
+}
+
+// unread reports whether a connection has bytes that have not been read.
+func unread(c net.Conn) bool {
+	n, _ := inspect(c)
+	return n > 0
 }
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -58,8 +58,9 @@
 	out             *logs.Writer
 	events          *events
 	// requestServers accept the requests of callers and of other daemons.
-	requestServers, otherServers []http1.Server
-	cancel                       context.CancelFunc
+	requestServers []*http1.PipelineServer
+	otherServers   []http1.Server
+	cancel         context.CancelFunc
 	// budget bounds the memory for bodies.
 	budget   *http1.Budget
 	shutdown *shutdown
@@ -246,21 +247,24 @@
 		return fmt.Errorf("listen on ready address: %w", err)
 	}
 	d.otherServers = append(d.otherServers, ready)
+	controlServer, err := http1.ListenPipelined(s.GetControl(), control, d.events.panicked, nil)
+	if err != nil {
+		return fmt.Errorf("listen on control address: %w", err)
+	}
+	d.otherServers = append(d.otherServers, controlServer)
 	for _, l := range []struct {
 		name, address string
 		handler       http.Handler
 		limits        func() http1.ConnLimits
-		servers       *[]http1.Server
 	}{
-		{"control", s.GetControl(), control, nil, &d.otherServers},
-		{"inbound", s.GetInbound(), d.inbound, nil, &d.requestServers},
-		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits, &d.requestServers},
+		{"inbound", s.GetInbound(), d.inbound, nil},
+		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits},
 	} {
 		server, err := http1.ListenPipelined(l.address, l.handler, d.events.panicked, l.limits)
 		if err != nil {
 			return fmt.Errorf("listen on %s address: %w", l.name, err)
 		}
-		*l.servers = append(*l.servers, server)
+		d.requestServers = append(d.requestServers, server)
 	}
 	ctx := d.gossiper.ctx
 	d.events.spawnLoop(ctx, func() { d.watcher.run(ctx) })
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -104,6 +104,8 @@
 	waited time.Duration
 	// instance is the id of the instance according to its daemon.
 	instance string
+	// err is the error of a request to another daemon that got no response.
+	err error
 }
 
 func notRun(reason caller.Reason) *result {
@@ -113,6 +115,14 @@
 // hasResponse reports whether a backend server responded.
 func (r *result) hasResponse() bool { return r.outcome == caller.OutcomeRan }
 
+// errorFields returns the fields of a log line that say why there is no response.
+func (r *result) errorFields() []any {
+	if r.err == nil {
+		return nil
+	}
+	return []any{"error", r.err.Error()}
+}
+
 // attempt converts the result to the form by which the retry state decides on further
 // attempts.
 func (r *result) attempt() upstream.Attempt {
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -139,9 +139,9 @@
 	if r.hasResponse() {
 		s.balancer.RecordResponseSize(req.upstreamRequest(), len(r.body))
 	}
-	s.events.request(classOf(r.outcome, logs.Attempt), "placed", req.id, "service", req.service, "instance", i.ID(),
+	s.events.request(classOf(r.outcome, logs.Attempt), "placed", req.id, append(r.errorFields(), "service", req.service, "instance", i.ID(),
 		"expected", placement.ExpectedLatency().Round(time.Microsecond).String(), "choosy", redirectable, "outcome", r.outcome.String(),
-		"reason", string(r.reason), "offered", r.delivered, "running", r.load.Running(), "waiting", r.load.Waiting())
+		"reason", string(r.reason), "offered", r.delivered, "running", r.load.Running(), "waiting", r.load.Waiting())...)
 	return r
 }
 
@@ -183,7 +183,7 @@
 	report := &schema.HopReport{}
 	if err := extractMessage(resp.Header(), reportHeader, report); err != nil {
 		resp.Release()
-		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost}
+		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, err: err}
 	}
 	r := decodeReport(report)
 	if !r.hasResponse() {
@@ -216,7 +216,7 @@
 // errorResult returns the result of a request for which the daemon of an instance
 // returned no response.
 func errorResult(ctx context.Context, err error) *result {
-	r := &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, daemonUnreachable: true}
+	r := &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, daemonUnreachable: true, err: err}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDaemonUnresponsive) {
 		r.reason, r.daemonUnreachable = contextReason(ctx), false
 	}
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -109,7 +109,11 @@
 	d.cancel()
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
-	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	unread, cut := 0, 0
+	for _, s := range d.requestServers {
+		unread, cut = unread+s.CloseCounts().Unread(), cut+s.CloseCounts().Cut()
+	}
+	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load(), "unread", unread, "cut", cut)
 	d.out.Close()
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("close daemon: %w", err)
@@ -118,7 +122,7 @@
 }
 
 // shutDown shuts down servers and waits for their open requests until the given time.
-func shutDown(until time.Time, servers []http1.Server) error {
+func shutDown[S http1.Server](until time.Time, servers []S) error {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	errs := make([]error, len(servers))
