Send a refusal without waiting for a body that is still arriving

Cause: a refusal is decided by the head of a request, but before it was written the server read on for the rest of the body, for up to 200 ms, so that the connection could be used again. A daemon that stops ends the connection after each response, and it exits 150 ms after the last refusal is decided, so the refusal was never sent. A response that ends the connection is now written at once, and what is left of the body is ignored after it.

Evidence: the script in http1/pipeline gave 'late: 503' (over 100 ms). Class: a promise made at one step (refused at the head) and kept at a later one (written after the body).

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -272,7 +272,12 @@
 
 // closesConnection reports whether the connection cannot be used after the response.
 func (e *exchange) closesConnection() bool {
-	return httpguts.HeaderValuesContainsToken(e.header["Connection"], "close") || e.body != nil && !e.body.complete()
+	return e.announcesClose() || e.body != nil && !e.body.complete()
+}
+
+// announcesClose reports whether the handler ends the connection.
+func (e *exchange) announcesClose() bool {
+	return httpguts.HeaderValuesContainsToken(e.header["Connection"], "close")
 }
 
 // finish completes the response and lets the next one be sent. If the response cannot be
@@ -339,7 +344,8 @@
 }
 
 // discardBody ends the reading of the request body. It reads what is left of a small
-// one, so that the connection can be used again.
+// one, so that the connection can be used again. If the connection is to end, the response
+// does not wait for the body.
 func (e *exchange) discardBody() {
 	b := e.body
 	if b == nil || b.complete() {
@@ -350,7 +356,7 @@
 	case <-b.idle:
 		if b.expectsContinue.CompareAndSwap(true, false) {
 			close(b.wanted)
-		} else {
+		} else if !e.announcesClose() {
 			deadline = deadline.Add(discardTimeout)
 		}
 		b.idle <- struct{}{}
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -107,6 +107,10 @@
 	case "refuse":
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
+	case "leave":
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case "large":
 		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
 	}
@@ -260,6 +264,13 @@
 		return fmt.Sprintf("  %d events\n", len(s.handler.drain()))
 	case "read":
 		return s.read(http.MethodGet)
+	case "promptly": // promptly: reads a response that must not wait for anything
+		begin := time.Now()
+		text := s.read(http.MethodGet)
+		if time.Since(begin) > promptTime {
+			return "  late:" + text[1:]
+		}
+		return text
 	case "readhead":
 		return s.read(http.MethodHead)
 	case "end":
@@ -297,6 +308,9 @@
 	return ""
 }
 
+// promptTime is the time within which a response is sent that waits for nothing.
+const promptTime = 100 * time.Millisecond
+
 // read reads the next response.
 func (s *pipelineScript) read(method string) string {
 	_ = s.conn.SetReadDeadline(time.Now().Add(time.Second))
