Let the reader of a connection close it, once no request is on its way

A stop could end a connection with a request in it that nobody answered:

- an idle connection was closed by the goroutine that shuts the server down, also while a request waited in the socket or in the buffer of the goroutine that reads, which resets the connection;
- a request behind a response whose head was already out, without Connection: close (a long or a streamed one), was read and thrown away;
- the head of a further request that did not arrive in time ended the requests before it, also without a stop;
- what waited in the listener's backlog was reset.

Cause: the decision to close was made apart from the one that reads. Now only the goroutine that reads a connection ends it while no request is open, and looks into the socket before it does so. Requests are accepted until a response announces the end of the connection; a head that has begun to arrive is read until shortly before the end of the stop, and is answered 408 if it stays incomplete. The listener accepts what waits before it is closed. A client that still sends is read for up to 5 s after the last response, so that a reset does not take that response along.

The scripts in http1/pipeline gave 'no response' for the request behind a streamed response, and 'cancelled /wait/a' for the request before an incomplete head.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -356,7 +356,7 @@
 	case <-b.idle:
 		if b.expectsContinue.CompareAndSwap(true, false) {
 			close(b.wanted)
-		} else if !e.announcesClose() {
+		} else if !e.conn.ending() && !e.announcesClose() {
 			deadline = deadline.Add(discardTimeout)
 		}
 		b.idle <- struct{}{}
--- a/internal/http1/parse.go
+++ b/internal/http1/parse.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"net/textproto"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 
@@ -27,6 +28,9 @@
 // Error implements error.
 func (e *requestError) Error() string { return e.text }
 
+// errHeadTimeout means that the head of a request did not arrive in time.
+var errHeadTimeout = &requestError{status: http.StatusRequestTimeout, text: "request head incomplete"}
+
 func badRequest(format string, args ...any) error {
 	return &requestError{status: http.StatusBadRequest, text: fmt.Sprintf(format, args...)}
 }
@@ -100,6 +104,8 @@
 		return &requestError{status: http.StatusRequestHeaderFieldsTooLarge, text: err.Error()}
 	case errors.As(err, &protocol):
 		return badRequest("malformed header")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errHeadTimeout
 	}
 	return fmt.Errorf("read head: %w", err)
 }
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheehead/lycheehead/pkg/lock"
@@ -22,10 +24,17 @@
 	readBufferBytes = 2 << 10
 	// requestLineBytes is added to the limit for the header.
 	requestLineBytes = 4 << 10
-	// lingerTimeout is how long a connection is kept after its last response, so that
-	// bytes of the client that arrive meanwhile do not reset it before the client has
-	// read the response.
+	// lingerTimeout is how long a connection is kept after its last response, and after the
+	// last bytes of the client, so that bytes that arrive meanwhile do not reset it before
+	// the client has read the response. maxLinger limits the total time.
 	lingerTimeout = 500 * time.Millisecond
+	maxLinger     = 5 * time.Second
+	// backlogTimeout is how long connections that wait to be accepted are accepted once the
+	// server shuts down. lateRequestTimeout is the time that their first request has to arrive.
+	backlogTimeout     = 10 * time.Millisecond
+	lateRequestTimeout = 100 * time.Millisecond
+	// closeMargin is the time for the last responses before the end of a shutdown.
+	closeMargin = 20 * time.Millisecond
 	// shutdownPollInterval is the time between two checks whether all connections have
 	// ended.
 	shutdownPollInterval = 20 * time.Millisecond
@@ -54,11 +63,18 @@
 	// ctx is the parent of the contexts of all requests.
 	ctx    context.Context //nolint:containedctx // lives as long as the server
 	cancel context.CancelFunc
+	// draining ends when the server begins to shut down.
+	draining context.Context //nolint:containedctx // lives as long as the server
+	drain    context.CancelFunc
+	// closeAt is the time until which requests that are arriving are read during a shutdown,
+	// nil for no limit.
+	closeAt atomic.Pointer[time.Time]
+	// accepting is closed once no further connections are accepted.
+	accepting chan struct{}
 	// mu has rank lock.Connections and guards the fields below.
-	mu       *lock.Mutex
-	conns    map[*serverConn]struct{}
-	draining bool
-	closed   CloseCounts
+	mu     *lock.Mutex
+	conns  map[*serverConn]struct{}
+	closed CloseCounts
 }
 
 // CloseCounts says what Shutdown ended without a response.
@@ -120,9 +136,11 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	draining, drain := context.WithCancel(ctx)
 	s := &PipelineServer{
 		handler: handler, listener: l, onPanic: onPanic, limits: limits, ctx: ctx, cancel: cancel,
-		mu: lock.New(lock.Connections), conns: make(map[*serverConn]struct{}),
+		mu: lock.New(lock.Connections), conns: make(map[*serverConn]struct{}), accepting: make(chan struct{}),
+		draining: draining, drain: drain,
 	}
 	go s.accept()
 	return s, nil
@@ -131,16 +149,17 @@
 var _ Server = (*PipelineServer)(nil)
 
 func (s *PipelineServer) accept() {
+	defer close(s.accepting)
 	delay := minAcceptDelay
 	for {
 		raw, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
 			select {
 			case <-time.After(delay):
-			case <-s.ctx.Done():
+			case <-s.draining.Done():
 				return
 			}
 			delay = min(2*delay, maxAcceptDelay)
@@ -148,24 +167,20 @@
 		}
 		delay = minAcceptDelay
 		setUnackedTimeout(raw)
-		if c := s.add(raw); c != nil {
-			go c.serve()
-		}
+		go s.add(raw).serve()
 	}
 }
 
-// add registers a new connection. It returns nil if the server is shutting down.
+// add registers a new connection.
 func (s *PipelineServer) add(raw net.Conn) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining {
-		_ = raw.Close()
-		return nil
-	}
 	head := &headReader{src: raw}
 	c := &serverConn{server: s, raw: raw, head: head, r: bufio.NewReaderSize(head, readBufferBytes), mu: lock.New(lock.Connections)}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	c.slots = make(chan struct{}, maxPipelined)
+	c.late = s.draining.Err() != nil
+	c.closing = c.late
 	s.conns[c] = struct{}{}
 	return c
 }
@@ -201,13 +216,28 @@
 	return s.closed
 }
 
-// Shutdown implements Server. Requests that have been read are answered, and the last
-// response of each connection says that it is closed.
+// closeListener accepts the connections that wait for that, and closes the listener. Closing
+// it at once would reset them.
+func (s *PipelineServer) closeListener(ctx context.Context) error {
+	if tcp, ok := s.listener.(*net.TCPListener); ok {
+		_ = tcp.SetDeadline(time.Now().Add(backlogTimeout))
+		select {
+		case <-s.accepting:
+		case <-ctx.Done():
+		}
+	}
+	return s.listener.Close() //nolint:wrapcheck // wrapped by the caller
+}
+
+// Shutdown implements Server. Requests that have been read, or are arriving, are answered, and
+// the last response of each connection says that it is closed.
 func (s *PipelineServer) Shutdown(ctx context.Context) error {
-	err := s.listener.Close()
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
+	if end, ok := ctx.Deadline(); ok {
+		end = end.Add(-closeMargin)
+		s.closeAt.Store(&end)
+	}
+	s.drain()
+	err := s.closeListener(ctx)
 	for _, c := range s.openConns() {
 		c.beginClose()
 	}
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -86,6 +86,10 @@
 		panic("as the script says")
 	case "abort":
 		panic(http.ErrAbortHandler)
+	case "flow":
+		_, _ = io.WriteString(w, "first ")
+		w.(http.Flusher).Flush()
+		<-h.gate(r.URL.Path)
 	case "short":
 		w.Header().Set("Content-Length", "100")
 	case "broken":
@@ -133,8 +137,8 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
-	// idle is the limit for idle connections, or zero.
-	idle time.Duration
+	// idle and head are the limits for idle connections and for heads, or zero.
+	idle, head time.Duration
 	// busy holds up the server before it reads a request, while it holds a value.
 	busy chan struct{}
 	// stopped is closed once Shutdown has returned.
@@ -171,14 +175,15 @@
 	datadriven.RunTest(t, "testdata/pipeline", func(t *testing.T, d *datadriven.TestData) string {
 		s := &pipelineScript{t: t, handler: &scriptedHandler{gates: make(map[string]chan struct{})}, address: freeAddress(t), stopped: make(chan struct{}), busy: make(chan struct{}, 1)}
 		var err error
-		if d.HasArg("idle") {
-			var idle time.Duration
+		for name, limit := range map[string]*time.Duration{"idle": &s.idle, "head": &s.head} {
+			if !d.HasArg(name) {
+				continue
+			}
 			var text string
-			d.ScanArgs(t, "idle", &text)
-			if idle, err = time.ParseDuration(text); err != nil {
+			d.ScanArgs(t, name, &text)
+			if *limit, err = time.ParseDuration(text); err != nil {
 				t.Fatal(err)
 			}
-			s.idle = idle
 		}
 		s.server, err = http1.ListenPipelined(s.address, s.handler, func(v any, _ []byte) { s.handler.record("panic: %v", v) }, s.limits)
 		if err != nil {
@@ -206,7 +211,7 @@
 func (s *pipelineScript) limits() http1.ConnLimits {
 	s.busy <- struct{}{}
 	<-s.busy
-	return http1.NewConnLimits(s.idle, 0, 0)
+	return http1.NewConnLimits(s.idle, s.head, 0)
 }
 
 func (s *pipelineScript) connect() {
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -36,10 +36,13 @@
 	lastAlone bool
 	// reading is set while the head of a request is being read.
 	reading bool
-	// closing is set once no further requests are accepted. The response to the last
-	// request announces it. lastRead is set while the request that is being read is
-	// accepted nevertheless.
-	closing, lastRead bool
+	// lastHeadSent states that the head of the response to the last request has been sent.
+	lastHeadSent bool
+	// closing is set once the connection is to end. lastAccepted is set once no further
+	// requests are accepted: once a response announces the end, or is bound to do so.
+	closing, lastAccepted bool
+	// late states that the connection was accepted during the shutdown of the server.
+	late bool
 }
 
 // serve reads requests until the connection ends.
@@ -99,13 +102,8 @@
 // accepted. A request is returned once it may run: if it, or the last one, may not run beside
 // others, once the last one has been answered.
 func (c *serverConn) next() (*exchange, error) {
-	c.awaitRequest()
-	c.head.beginHead(c.r.Buffered(), c.server.limits().maxHead())
-	if _, err := c.r.Peek(1); err != nil {
-		return nil, fmt.Errorf("await request: %w", err)
-	}
-	if !c.beginRead() {
-		return nil, nil //nolint:nilnil // neither a request nor an error
+	if ok, err := c.awaitRequest(); !ok || err != nil {
+		return nil, err
 	}
 	req, framing, err := parseHead(c.r)
 	c.head.endHead()
@@ -136,13 +134,35 @@
 	return req.Method == http.MethodGet || req.Method == http.MethodHead || req.Method == http.MethodOptions
 }
 
-// awaitRequest starts the idle timeout if no request is open.
-func (c *serverConn) awaitRequest() {
+// awaitRequest waits for the first byte of a request, and reports whether the request is
+// accepted. The connection ends when it has been idle for too long or is being closed, unless
+// a request arrives at that moment.
+func (c *serverConn) awaitRequest() (ok bool, err error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.open == 0 && c.r.Buffered() == 0 {
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.server.limits().idleTimeout()))
+		_ = c.raw.SetReadDeadline(c.idleDeadline(time.Now()))
+	}
+	c.mu.Unlock()
+	c.head.beginHead(c.r.Buffered(), c.server.limits().maxHead())
+	_, err = c.r.Peek(1)
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) && unread(c.raw) {
+		return c.beginRead(), nil
+	}
+	return false, fmt.Errorf("await request: %w", err)
+}
+
+// idleDeadline returns the time until which a connection without open requests is kept. The
+// caller holds mu.
+func (c *serverConn) idleDeadline(now time.Time) time.Time {
+	switch {
+	case c.lastAccepted:
+		return now.Add(lingerTimeout)
+	case !c.closing:
+		return now.Add(c.server.limits().idleTimeout())
+	case c.late && c.accepted == 0:
+		return now.Add(lateRequestTimeout)
 	}
+	return time.Unix(1, 0)
 }
 
 // beginRead records that the first byte of a request has arrived, and reports whether
@@ -150,14 +170,32 @@
 func (c *serverConn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.lastAccepted {
 		return false
 	}
 	c.reading = true
-	_ = c.raw.SetReadDeadline(time.Now().Add(c.server.limits().headTimeout()))
+	_ = c.raw.SetReadDeadline(c.headDeadline(time.Now()))
 	return true
 }
 
+// headDeadline returns the time until which a head that has begun to arrive is read. The
+// caller holds mu.
+func (c *serverConn) headDeadline(now time.Time) time.Time {
+	deadline := now.Add(c.server.limits().headTimeout())
+	if until := c.server.closeAt.Load(); until != nil && c.closing && until.Before(deadline) {
+		return *until
+	}
+	return deadline
+}
+
+// linger stops writing, and bounds the time for which the client may still write.
+func (c *serverConn) linger() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
 // awaitSlot waits until fewer than maxPipelined requests are open.
 func (c *serverConn) awaitSlot() error {
 	select {
@@ -229,8 +267,8 @@
 	}
 }
 
-// accept makes a request the last one of the connection, unless the connection is being
-// closed. From then on the connection is not closed before the request has been answered,
+// accept makes a request the last one of the connection, unless no further requests are
+// accepted. From then on the connection is not closed before the request has been answered,
 // even if it has to wait for the answers to others. accept returns a channel that is closed
 // once the request before it has been answered, nil if there is none, and whether the two may
 // not run beside each other.
@@ -238,37 +276,46 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.closing && !c.lastRead {
+	if c.lastAccepted {
 		return nil, false, false
 	}
-	c.lastRead = false
 	e.previous = c.lastDone
 	alone = e.alone || c.lastAlone
-	c.lastDone, c.lastAlone = e.done, e.alone
+	c.lastDone, c.lastAlone, c.lastHeadSent = e.done, e.alone, false
 	c.accepted++
 	e.number = c.accepted
 	c.open++
-	c.closing = c.closing || e.request.Close
+	if c.closing || e.request.Close {
+		c.setClosing()
+	}
 	_ = c.raw.SetReadDeadline(time.Time{})
 	return e.previous, alone, true
 }
 
-// beginClose accepts no further requests. If no request is open, it closes the connection,
-// or waits for a request that has arrived in part.
+// setClosing makes the connection end. If a response is still to announce that, no further
+// requests are accepted. Otherwise the client may send one more. The caller holds mu.
+func (c *serverConn) setClosing() {
+	c.closing = true
+	if c.open > 0 && !c.lastHeadSent {
+		c.lastAccepted = true
+	}
+}
+
+// beginClose makes the connection end once the requests that have been accepted, or whose
+// head is arriving, have been answered.
 func (c *serverConn) beginClose() {
 	c.mu.Lock()
-	c.closing = true
-	idle := c.open == 0 && !c.reading
-	c.lastRead = c.open == 0 && c.reading
-	if c.lastRead {
-		_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	defer c.mu.Unlock()
+	if c.closing {
+		return
 	}
-	c.mu.Unlock()
-	if idle {
-		if unread(c.raw) {
-			c.server.countClosed(CloseCounts{unread: 1})
-		}
-		_ = c.raw.Close()
+	c.setClosing()
+	switch {
+	case c.open > 0:
+	case c.reading:
+		_ = c.raw.SetReadDeadline(c.headDeadline(time.Now()))
+	default:
+		_ = c.raw.SetReadDeadline(c.idleDeadline(time.Now()))
 	}
 }
 
@@ -279,33 +326,42 @@
 	return c.open
 }
 
-// lastResponse reports whether the connection ends with the response to e, and makes
-// it so if e requires that and no other request has been accepted.
+// lastResponse records that the head of the response to e is sent. It reports whether the
+// connection ends with that response, and makes it so if closeAfter is set and no other
+// request has been accepted.
 func (c *serverConn) lastResponse(e *exchange, closeAfter bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closing = c.closing || closeAfter
-	return c.closing && e.number == c.accepted
+	if c.closing || closeAfter {
+		c.setClosing()
+	}
+	last := c.closing && e.number == c.accepted
+	c.lastAccepted = c.lastAccepted || last
+	c.lastHeadSent = c.lastHeadSent || e.number == c.accepted
+	return last
+}
+
+// ending reports whether the connection is to end.
+func (c *serverConn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
 }
 
 // finish records that a request has been answered. After the last response of the
-// connection it stops writing, and bounds the time for which the client may still write.
+// connection it stops writing.
 func (c *serverConn) finish(e *exchange) {
 	<-c.slots
 	c.mu.Lock()
 	c.open--
-	last := c.closing && e.number == c.accepted
+	last := c.lastAccepted && e.number == c.accepted
 	if c.open == 0 && !c.reading && !last {
-		_ = c.raw.SetReadDeadline(time.Now().Add(c.server.limits().idleTimeout()))
+		_ = c.raw.SetReadDeadline(c.idleDeadline(time.Now()))
 	}
 	c.mu.Unlock()
-	if !last {
-		return
+	if last {
+		c.linger()
 	}
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
-	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
 // reject answers a request that could not be read, once those before it have been
@@ -325,10 +381,14 @@
 // requests are open, the end of the connection cancels them.
 func (c *serverConn) discard() {
 	c.head.endHead()
+	end := time.Now().Add(maxLinger)
 	for {
 		if _, err := c.r.Discard(max(c.r.Buffered(), 1)); err != nil {
 			return
 		}
+		if until := time.Now().Add(lingerTimeout); until.Before(end) && c.openRequests() == 0 {
+			_ = c.raw.SetReadDeadline(until)
+		}
 	}
 }
 
