Refuse requests whose body is still arriving as a planned stop ends

A caller whose request was accepted in the first 2.5 s of a stop, with a deadline after its end, and whose body came slowly, got no answer: the connection ended with the process. Cause: a request was accepted by its deadline and mean run time, but the time for its body was bounded by the deadline alone. Once a stopping daemon refuses all requests, those that it still reads are refused as well, as not run, since no backend server has seen them.

Bodies over 1 MiB are streamed, so a backend server may have seen them; they still end with the process.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -145,7 +145,7 @@
 		// The connection is read for the next request.
 		return nil
 	}
-	e.body.deadline = until
+	e.body.deadline.Store(&until)
 	if e.body.expectsContinue.Load() {
 		// The deadline takes effect with the first read.
 		return nil
--- a/internal/http1/request_body.go
+++ b/internal/http1/request_body.go
@@ -18,8 +18,8 @@
 	// not do so, and unwatched once the server has left the connection to the handler.
 	expectsContinue   atomic.Bool
 	wanted, unwatched chan struct{}
-	// deadline is the time until which the handler may read the body, zero for no limit.
-	deadline time.Time
+	// deadline is the time until which the handler may read the body, nil for no limit.
+	deadline atomic.Pointer[time.Time]
 	// idle holds a value while no goroutine reads the connection.
 	idle   chan struct{}
 	closed bool
@@ -38,7 +38,11 @@
 	if b.expectsContinue.CompareAndSwap(true, false) {
 		close(b.wanted)
 		<-b.unwatched
-		_ = b.exchange.conn.raw.SetReadDeadline(b.deadline)
+		var deadline time.Time
+		if d := b.deadline.Load(); d != nil {
+			deadline = *d
+		}
+		_ = b.exchange.conn.raw.SetReadDeadline(deadline)
 		if err := b.exchange.writeContinue(); err != nil {
 			return 0, err
 		}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -111,7 +111,7 @@
 		peers:    newPeerClients(inboundAddr.Port(), controlAddr.Port(), budget),
 		cancel:   cancel,
 		budget:   budget,
-		shutdown: &shutdown{},
+		shutdown: newShutdown(),
 	}
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -120,6 +120,8 @@
 	switch {
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		return decision, refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+	case errors.Is(err, os.ErrDeadlineExceeded) && in.shutdown.bodies.Err() != nil:
+		return decision, refusedResponse(caller.ReasonLeaving, jitter(unavailableRetryAfter))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return decision, refusedResponse(caller.ReasonDeadlineExceeded, 0)
 	case err != nil:
@@ -197,8 +199,8 @@
 	req.objective = now.Add(min(objective, timeout))
 }
 
-// readBody buffers a body of up to maxBufferedBody bytes, until the deadline of the request
-// at the latest. The rest of a larger one is streamed.
+// readBody buffers a body of up to maxBufferedBody bytes, until the deadline of the request or
+// the end of a planned stop at the latest. The rest of a larger one is streamed.
 func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body, error) {
 	if r.ContentLength == 0 {
 		return body{}, nil
@@ -214,10 +216,12 @@
 	if err != nil {
 		return body{}, err //nolint:wrapcheck // only compared
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
 		lease.Release()
 		return body{}, fmt.Errorf("set body read deadline: %w", err)
 	}
+	defer context.AfterFunc(in.shutdown.bodies, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
 	b, err := readPrefix(r)
 	if err != nil {
 		lease.Release()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -320,10 +320,14 @@
 		}
 		_, _ = fmt.Fprintf(f.conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 800\r\nAuthorization: Bearer %s\r\n\r\n",
 			args[1], f.requests, key)
-	case "half": // half path: sends a request without the end of its body
+	case "half": // half path [ms]: sends a request without the end of its body, with a deadline of 800 ms by default
 		f.requests++
-		_, _ = fmt.Fprintf(f.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 800\r\n"+
-			"Authorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", args[1], f.requests, callerKey)
+		deadline := "800"
+		if len(args) > 2 {
+			deadline = args[2]
+		}
+		_, _ = fmt.Fprintf(f.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: %s\r\n"+
+			"Authorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", args[1], f.requests, deadline, callerKey)
 	case "receive":
 		return f.receive()
 	case "leave":
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -34,14 +34,24 @@
 	closeTimeout = 50 * time.Millisecond
 )
 
-// shutdown is the state of a planned stop. The zero value is that of a daemon that is not
-// stopping.
+// shutdown is the state of a planned stop. Use newShutdown to create that of a daemon that is
+// not stopping.
 type shutdown struct {
 	// plan is set once the daemon is stopping.
 	plan atomic.Pointer[caller.Shutdown]
 	// refusing is set once no more requests of callers are accepted, and backendClosed once
 	// no more requests are sent to the backend server.
 	refusing, backendClosed atomic.Bool
+	// bodies ends once requests whose body is still arriving are refused.
+	bodies context.Context //nolint:containedctx // a state, not a call
+	// refuseBodies ends bodies.
+	refuseBodies context.CancelFunc
+}
+
+func newShutdown() *shutdown {
+	s := &shutdown{}
+	s.bodies, s.refuseBodies = context.WithCancel(context.Background())
+	return s
 }
 
 // stopping reports whether the daemon is stopping. Connections are then closed after their
@@ -78,6 +88,7 @@
 		return d.openRequests.Load() == 0 && d.admission.running.Load() == 0
 	})
 	d.shutdown.refusing.Store(true)
+	d.shutdown.refuseBodies()
 	d.events.stateChange("closing", "took", time.Since(begin).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	return d.close(exit)
 }
