Tell other daemons that a kept connection is closed and nothing more is read on it

An unsafe request whose outcome is unknown may not be sent elsewhere, so its work was lost.

Cause: a stopping daemon closes the kept connections of other daemons that are idle. A request that was on its way at that moment is reset or gets the end of the connection, which is also what the death of a daemon in the middle of a run looks like, so that the sender must not believe that it has not run.

Now the receiver says so in the protocol: before it closes an idle connection of another daemon, it writes a refusal, 'not run, leaving', stops writing and begins no request that comes after it. A sender whose request crosses it reads it as the response to that request, which is true, and places the request elsewhere. On an idle connection it finds unexpected bytes and opens another one, as before. A connection that ends without these bytes still counts as unknown. Callers, who speak plain HTTP, do not get it.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -69,6 +70,8 @@
 	// closeAt is the time until which requests that are arriving are read during a shutdown,
 	// nil for no limit.
 	closeAt atomic.Pointer[time.Time]
+	// goAway is the response that tells the client of an idle connection that it is closed.
+	goAway atomic.Pointer[[]byte]
 	// accepting is closed once no further connections are accepted.
 	accepting chan struct{}
 	// mu has rank lock.Connections and guards the fields below.
@@ -148,6 +151,22 @@
 
 var _ Server = (*PipelineServer)(nil)
 
+// SetGoAway sets a response without a body that the server sends, unasked, on each connection
+// that it closes while no request is open. It is meant for clients that send no request before
+// the last one has been answered: such a client takes it for the response to a request that it
+// sent at that moment, and which the server does not read.
+func (s *PipelineServer) SetGoAway(status int, header http.Header) {
+	h := header.Clone()
+	h.Set("Connection", "close")
+	h.Set("Content-Length", "0")
+	var b bytes.Buffer
+	_, _ = fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = h.Write(&b)
+	b.WriteString("\r\n")
+	text := b.Bytes()
+	s.goAway.Store(&text)
+}
+
 func (s *PipelineServer) accept() {
 	defer close(s.accepting)
 	delay := minAcceptDelay
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +57,13 @@
 	return n
 }
 
+// hasBegun reports whether a request has begun since the last call of drain.
+func (h *scriptedHandler) hasBegun(path string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.events, "begins "+path)
+}
+
 func (h *scriptedHandler) gate(path string) chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -189,6 +198,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if d.HasArg("goaway") {
+			s.server.SetGoAway(http.StatusServiceUnavailable, http.Header{})
+		}
 		s.connect()
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
@@ -276,6 +288,12 @@
 			return "  late:" + text[1:]
 		}
 		return text
+	case "crossing": // crossing n: n clients send requests while the server shuts down
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		return s.crossing(n)
 	case "readhead":
 		return s.read(http.MethodHead)
 	case "end":
@@ -316,6 +334,47 @@
 // promptTime is the time within which a response is sent that waits for nothing.
 const promptTime = 100 * time.Millisecond
 
+// crossing runs clients that send one request after another on kept connections, until they
+// are told that their connection ends, and shuts the server down meanwhile.
+func (s *pipelineScript) crossing(clients int) string {
+	var group sync.WaitGroup
+	var unanswered, untrue atomic.Int64
+	for i := range clients {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		group.Go(func() {
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			for k := 0; ; k++ {
+				path := fmt.Sprintf("/fast/%d/%d", i, k)
+				_, sendErr := io.WriteString(c, fmt.Sprintf(requestTexts["get"], path))
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					if sendErr == nil {
+						unanswered.Add(1)
+					}
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				if resp.StatusCode == http.StatusServiceUnavailable && s.handler.hasBegun(path) {
+					untrue.Add(1)
+				}
+				if resp.Close {
+					return
+				}
+				time.Sleep(time.Duration(rand.IntN(300)) * time.Microsecond) //nolint:gosec // no secret
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	s.stop(time.Second)
+	group.Wait()
+	return fmt.Sprintf("  %d unanswered, %d untrue refusals\n", unanswered.Load(), untrue.Load())
+}
+
 // read reads the next response.
 func (s *pipelineScript) read(method string) string {
 	_ = s.conn.SetReadDeadline(time.Now().Add(time.Second))
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -107,7 +107,10 @@
 	}
 	req, framing, err := parseHead(c.r)
 	c.head.endHead()
-	if err != nil {
+	switch {
+	case errors.Is(err, errHeadTimeout) && c.goAway():
+		return nil, nil //nolint:nilnil // neither a request nor an error
+	case err != nil:
 		return nil, err
 	}
 	e := newExchange(c, req, framing)
@@ -148,6 +151,9 @@
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) && unread(c.raw) {
 		return c.beginRead(), nil
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.goAway() {
+		return false, nil
+	}
 	return false, fmt.Errorf("await request: %w", err)
 }
 
@@ -188,6 +194,25 @@
 	return deadline
 }
 
+// goAway accepts no further requests and tells the client so, if the server has a response
+// for that. It reports whether it has. No request may be open.
+func (c *serverConn) goAway() bool {
+	notice := c.server.goAway.Load()
+	c.mu.Lock()
+	ok := notice != nil && c.open == 0 && !c.lastAccepted
+	c.lastAccepted = c.lastAccepted || ok
+	c.mu.Unlock()
+	if !ok {
+		return false
+	}
+	_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
+	if _, err := c.raw.Write(*notice); err != nil {
+		return false
+	}
+	c.linger()
+	return true
+}
+
 // linger stops writing, and bounds the time for which the client may still write.
 func (c *serverConn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -252,20 +252,21 @@
 		return fmt.Errorf("listen on control address: %w", err)
 	}
 	d.otherServers = append(d.otherServers, controlServer)
-	for _, l := range []struct {
-		name, address string
-		handler       http.Handler
-		limits        func() http1.ConnLimits
-	}{
-		{"inbound", s.GetInbound(), d.inbound, nil},
-		{"outbound", s.GetOutbound(), d.countOpen(d.ingress), d.callerLimits},
-	} {
-		server, err := http1.ListenPipelined(l.address, l.handler, d.events.panicked, l.limits)
-		if err != nil {
-			return fmt.Errorf("listen on %s address: %w", l.name, err)
-		}
-		d.requestServers = append(d.requestServers, server)
+	inbound, err := http1.ListenPipelined(s.GetInbound(), d.inbound, d.events.panicked, nil)
+	if err != nil {
+		return fmt.Errorf("listen on inbound address: %w", err)
+	}
+	d.requestServers = append(d.requestServers, inbound)
+	notice, err := goAwayHeader()
+	if err != nil {
+		return err
+	}
+	inbound.SetGoAway(http.StatusServiceUnavailable, notice)
+	outbound, err := http1.ListenPipelined(s.GetOutbound(), d.countOpen(d.ingress), d.events.panicked, d.callerLimits)
+	if err != nil {
+		return fmt.Errorf("listen on outbound address: %w", err)
 	}
+	d.requestServers = append(d.requestServers, outbound)
 	ctx := d.gossiper.ctx
 	d.events.spawnLoop(ctx, func() { d.watcher.run(ctx) })
 	d.events.spawnLoop(ctx, d.gossiper.run)
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -84,6 +84,16 @@
 	writeBody(w, status, r.body)
 }
 
+// goAwayHeader returns the header of the response that tells another daemon that its
+// connection is closed, and that a request which it has just sent there is not read.
+func goAwayHeader() (http.Header, error) {
+	h := make(http.Header)
+	if err := setMessage(h, reportHeader, encodeReport(notRun(caller.ReasonLeaving))); err != nil {
+		return nil, fmt.Errorf("encode closing notice: %w", err)
+	}
+	return h, nil
+}
+
 // writeBody writes the status, the header and the body of a response.
 func writeBody(w http.ResponseWriter, status int, body []byte) {
 	h := w.Header()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -306,8 +306,12 @@
 		go func() { result <- f.send(r) }()
 	case "await": // await name: prints the response to a request in the background
 		return <-f.pending[args[1]] + "\n"
-	case "open": // open m1: opens a connection for the commands send, receive and leave
-		c, err := net.Dial("tcp", addressOf(args[1], portOutbound))
+	case "open": // open m1 [inbound]: opens a connection for the commands send, receive and leave
+		port := portOutbound
+		if len(args) > 2 {
+			port = portInbound
+		}
+		c, err := net.Dial("tcp", addressOf(args[1], port))
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -476,6 +480,9 @@
 		return "cut\n"
 	}
 	out := fmt.Sprintf("%s %d %s", resp.Header.Get("X-Request-Id"), resp.StatusCode, strings.TrimSpace(string(text)))
+	if resp.Header.Get("Lycheehead-Report") != "" {
+		out += ", for a daemon"
+	}
 	if resp.Close {
 		out += ", closes"
 	}
