Close the listener in the goroutine that accepts, and describe how connections end

The window is smaller now, not gone: a connection that the kernel completes as the listener is closed is reset, and nothing has read it.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -74,6 +74,8 @@
 	goAway atomic.Pointer[[]byte]
 	// accepting is closed once no further connections are accepted.
 	accepting chan struct{}
+	// closeErr is the error of closing the listener, set before accepting is closed.
+	closeErr error
 	// mu has rank lock.Connections and guards the fields below.
 	mu     *lock.Mutex
 	conns  map[*serverConn]struct{}
@@ -172,13 +174,19 @@
 	delay := minAcceptDelay
 	for {
 		raw, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			// Connections that arrive from now on would be reset.
+			s.closeErr = s.listener.Close()
+			return
+		}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			select {
 			case <-time.After(delay):
 			case <-s.draining.Done():
+				s.closeErr = s.listener.Close()
 				return
 			}
 			delay = min(2*delay, maxAcceptDelay)
@@ -240,12 +248,16 @@
 func (s *PipelineServer) closeListener(ctx context.Context) error {
 	if tcp, ok := s.listener.(*net.TCPListener); ok {
 		_ = tcp.SetDeadline(time.Now().Add(backlogTimeout))
-		select {
-		case <-s.accepting:
-		case <-ctx.Done():
-		}
 	}
-	return s.listener.Close() //nolint:wrapcheck // wrapped by the caller
+	select {
+	case <-s.accepting:
+		return s.closeErr
+	case <-ctx.Done():
+	}
+	if err := s.listener.Close(); !errors.Is(err, net.ErrClosed) {
+		return err //nolint:wrapcheck // wrapped by the caller
+	}
+	return nil
 }
 
 // Shutdown implements Server. Requests that have been read, or are arriving, are answered, and
