Tell a small request that could not be written from a lost one

Callers saw 502 unknown for a request that may run at most once, although no byte of it had left the daemon, where another connection or instance would have served it (LOST).

Cause: http1.Client takes an idle connection after it has looked that it is open. If the server resets the connection between that and the write, the write fails. The head of a request without a body, and that of a large one, are flushed on their own, and a failure there with nothing written is ErrNotSent, which Do answers with another connection. A small body is flushed together with its head, and that error was passed on to the reading of the response, which failed as well and was reported as ErrResponseLost. So just the requests with small bodies, most of those that may not be repeated, were given up as unknown.

Evidence: testdata/client, where the server resets the connection after the client has chosen it.

Now a failed write of head and body together is ErrNotSent if the connection has not taken a byte. This is no guess: the bytes are counted behind the buffer, so none was given to the kernel and the server cannot have read any. After one byte the outcome remains lost, also where the end of the connection was already on its way, since that doesn't show what the server has read.

Ruled out: a graceful close (FIN) that crosses the request. The write succeeds then, and neither the end of the connection nor the lack of an acknowledgement proves that the server did not read.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -47,6 +48,8 @@
 	seen     chan string
 	// cut is the number of bytes of each canned response that are sent, zero for all.
 	cut atomic.Int64
+	// last is the connection that was accepted last.
+	last atomic.Pointer[net.TCPConn]
 }
 
 func newScriptedServer(t *testing.T) *scriptedServer {
@@ -62,6 +65,7 @@
 			if err != nil {
 				return
 			}
+			s.last.Store(c.(*net.TCPConn))
 			go s.serve(c, n)
 		}
 	}()
@@ -114,8 +118,18 @@
 	}
 }
 
+// resetLast resets the connection that was accepted last.
+func (s *scriptedServer) resetLast() {
+	c := s.last.Load()
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	// Wait for the reset to arrive.
+	time.Sleep(30 * time.Millisecond)
+}
+
 // TestClient sends requests to a scripted server. Each line of the input is a request
-// and what the server does with it.
+// and what the server does with it. A request with the prefix "late-" is sent on a connection
+// that the server resets after the client has chosen it and before the client writes.
 func TestClient(t *testing.T) {
 	datadriven.RunTest(t, "testdata/client", func(t *testing.T, d *datadriven.TestData) string {
 		s := newScriptedServer(t)
@@ -134,7 +148,11 @@
 			}
 			s.script <- script
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			verb, late := strings.CutPrefix(verb, "late-")
 			req := newRequest(verb)
+			if late {
+				req.SetOnCommit(sync.OnceFunc(s.resetLast))
+			}
 			resp, err := c.Do(ctx, req)
 			cancel()
 			fmt.Fprintf(&out, "%s: %s\n", line, formatResult(resp, err))
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -133,7 +133,11 @@
 	if r.hasBody() && !small {
 		go func() { bodySent <- r.writeBody(c.w) }()
 	} else {
-		bodySent <- c.sendSmallBody(r)
+		err := c.sendSmallBody(r)
+		if err != nil && c.written.n == before {
+			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		bodySent <- err
 	}
 	resp, clean, err := c.readResponse(r)
 	if err != nil {
