Send a request that may run once at most to the backend server once

A GET on a route that runs requests once at most could run twice (TWICE): the backend server read it, ended the connection without an answer, and net/http sent it again on another connection. Client.Do says that a request is sent once.

Cause: net/http sends a request again if a connection that has carried others ends before the first byte of the response, if its method is GET, HEAD, OPTIONS or TRACE and it has no body. Which requests may run again is said by the route here, not by the method, and TRACE is not among the methods that may. preventRetry only dealt with the fields for idempotency keys.

Evidence: testdata/once, a server that closes after it has read the request.

once-get close, ok: 200 body, executed 2 times once-head close, ok: 200, executed 2 times once-options close, ok: 200 body, executed 2 times once-trace close, ok: 200 body, executed 2 times

The egress now says which requests may run once only, and those with such a method get an empty body of unknown length, which net/http can't rewind and so doesn't send again. Other requests are sent again as before.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,7 @@
 	header         http.Header
 	body           io.Reader
 	length         int64
+	atMostOnce     bool
 }
 
 // NewRequest returns a request. target is the escaped path and query. length is the size
@@ -90,6 +92,14 @@
 	return Request{method: method, target: target, header: header, body: body, length: length}
 }
 
+// AtMostOnce returns a request that is sent once, whatever its method. Without it, a request
+// without a body whose method is safe is sent again if the backend server closes a connection
+// on which it has answered other requests.
+func (r Request) AtMostOnce() Request {
+	r.atMostOnce = true
+	return r
+}
+
 // Do sends a request and returns the response, whose body the caller must close.
 // Redirects are not followed. ErrNotSent means that the request was not executed and will
 // not be; after any other error it may have been.
@@ -105,11 +115,14 @@
 		return nil, fmt.Errorf("build request: %w: %w", ErrNotSent, err)
 	}
 	req.Header = r.header
-	if r.length != 0 && r.body != nil {
+	switch {
+	case r.length != 0 && r.body != nil:
 		// A body that cannot be rewound also prevents net/http from sending the
 		// request again.
 		req.Body = io.NopCloser(r.body)
 		req.ContentLength = r.length
+	case r.atMostOnce:
+		preventReplay(req)
 	}
 	preventRetry(req)
 	resp, err := c.service.DoRequest(req)
@@ -125,6 +138,17 @@
 	return nil, fmt.Errorf("send request to backend server: %w", err)
 }
 
+// preventReplay gives a request without a body an empty one of unknown length if its method
+// is one for which net/http may send the request again. The encoding "identity" keeps the
+// body off the connection.
+func preventReplay(req *http.Request) {
+	switch req.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		req.Body = io.NopCloser(strings.NewReader(""))
+		req.TransferEncoding = []string{"identity"}
+	}
+}
+
 // preventRetry converts the names of the idempotency key fields to lower case. If they
 // are present in canonical form, net/http may send the request again. The change has
 // no effect on the backend server, as field names are case-insensitive.
--- a/internal/backendhttp/client_test.go
+++ b/internal/backendhttp/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,13 +28,15 @@
 }
 
 // server answers each request as the next line of its script says. The words of a line are
-// responses; copy stands for the last refusal on the connection.
+// responses; copy stands for the last refusal on the connection, and close ends it.
 type server struct {
 	listener net.Listener
 	script   chan string
 	// cut is the number of bytes of each response that are sent before the connection is
 	// closed, zero for all.
 	cut atomic.Int64
+	// runs counts the requests.
+	runs atomic.Int64
 }
 
 func newServer(t *testing.T) *server {
@@ -41,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &server{listener: l, script: make(chan string, 1)}
+	s := &server{listener: l, script: make(chan string, 2)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -65,9 +68,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		s.runs.Add(1)
 		for word := range strings.FieldsSeq(<-s.script) {
 			text := responses[word]
 			switch word {
+			case "close":
+				return
 			case "copy":
 				text = shed
 			case "shed":
@@ -88,9 +94,17 @@
 
 // post sends a request and formats the response.
 func post(c *backendhttp.Client) string {
+	return send(c, backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, strings.NewReader("hello"), 5))
+}
+
+// send sends a request and formats the response.
+func send(c *backendhttp.Client, r backendhttp.Request) string {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	resp, err := c.Do(ctx, backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, strings.NewReader("hello"), 5))
+	resp, err := c.Do(ctx, r)
+	if errors.Is(err, backendhttp.ErrNotSent) {
+		return "not sent"
+	}
 	if err != nil {
 		return "no response"
 	}
@@ -118,6 +132,44 @@
 	})
 }
 
+// TestOnce sends requests on a connection that the server ends. Each line of the input is a
+// request, with what the server does with its first and its second copy. A request with the
+// prefix "once-" must not be executed more than once (TWICE).
+func TestOnce(t *testing.T) {
+	datadriven.RunTest(t, "testdata/once", func(t *testing.T, d *datadriven.TestData) string {
+		s := newServer(t)
+		c := newClient(s)
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			verb, script, _ := strings.Cut(line, " ")
+			for words := range strings.SplitSeq(script, ", ") {
+				s.script <- words
+			}
+			s.runs.Store(0)
+			result := send(c, newRequest(verb))
+			fmt.Fprintf(&out, "%s: %s, executed %d times\n", line, result, s.runs.Load())
+			for len(s.script) > 0 {
+				<-s.script
+			}
+		}
+		return out.String()
+	})
+}
+
+// newRequest returns a request with the method that verb names.
+func newRequest(verb string) backendhttp.Request {
+	verb, once := strings.CutPrefix(verb, "once-")
+	method := strings.ToUpper(verb)
+	r := backendhttp.NewRequest(method, "/", http.Header{}, nil, 0)
+	if method == http.MethodPost {
+		r = backendhttp.NewRequest(method, "/", http.Header{}, strings.NewReader("hello"), 5)
+	}
+	if once {
+		r = r.AtMostOnce()
+	}
+	return r
+}
+
 // TestCuts guards against a response that breaks off, in its head or later, and is taken for a
 // complete one (MIXED, ORDER). Each response is cut behind each of its bytes.
 func TestCuts(t *testing.T) {
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -287,7 +287,11 @@
 func (e *egress) run(ctx context.Context, w *work, body io.Reader, t *backend.Ticket) *reply {
 	token := newToken()
 	e.calls.Put(token, w.context)
-	resp, err := e.client.Do(ctx, backendhttp.NewRequest(w.method, w.target, e.header(w, token), body, w.length))
+	req := backendhttp.NewRequest(w.method, w.target, e.header(w, token), body, w.length)
+	if w.atMostOnce {
+		req = req.AtMostOnce()
+	}
+	resp, err := e.client.Do(ctx, req)
 	if err != nil {
 		e.calls.Delete(token)
 		return e.failedReply(ctx, w, t, err)
