Add a seeded soak of the real daemons

The soak starts the sidecar daemon as separate processes on loopback addresses, with stand-ins for the store, the backend servers and the callers, disrupts them by a schedule that follows from a seed, and checks each request from what its caller and the backend servers saw.

--- /dev/null
+++ b/internal/soak/journal.go
@@ -0,0 +1,389 @@
+package soak
+
+import (
+	"fmt"
+	"hash/crc32"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/table"
+)
+
+// request is what a caller sends and sees, with the runs that backend servers report. Times
+// count from the start of the soak; zero means that the event has not happened.
+type request struct {
+	id, shape, method, target string
+	idempotent                bool
+	// instance is the index of the instance at which the request begins.
+	instance int
+	// customer and service are what backend servers must be told about the caller.
+	customer, service string
+	bodySize          int
+	bodySum           uint32
+
+	// begun is when the head was sent, sent when the last byte was.
+	begun, sent, ended time.Duration
+	outcome            outcome
+	// received is how often a backend server has read the request's head.
+	received int
+	runs     []execution
+}
+
+// outcome is how a request ended at its caller.
+type outcome struct {
+	kind   outcomeKind
+	status int
+	// detail is the error with which the connection ended, or what is wrong with the response.
+	detail string
+	// foreign states that the response is not the backend server's, or not the request's.
+	foreign bool
+}
+
+type outcomeKind uint8
+
+const (
+	// pending is the outcome of a request that has not ended.
+	pending outcomeKind = iota
+	// answered means that a complete response was received.
+	answered
+	// cut means that the connection ended without a complete response.
+	cut
+	// silent means that there was no response until the caller stopped waiting.
+	silent
+	// crossed means that the response before announced the end of the connection, so that
+	// the request need not be read.
+	crossed
+	// left means that the caller closed the connection.
+	left
+)
+
+func (k outcomeKind) String() string {
+	return [...]string{"pending", "answered", "cut", "silent", "crossed", "left"}[k]
+}
+
+// execution is a run of a request at a backend server.
+type execution struct {
+	instance  int
+	at, until time.Duration
+	// wrong is what differs from the request as it was sent, or empty.
+	wrong string
+}
+
+// disruption is an interval in which an instance was disrupted. Its end is zero while it lasts.
+type disruption struct {
+	kind     string
+	planned  bool
+	from, to time.Duration
+}
+
+// history holds the disruptions of each instance, and of the whole fleet under the index all.
+type history map[int][]disruption
+
+// all is the index of disruptions that concern every instance.
+const all = -1
+
+// unplanned returns the first unplanned disruption in an interval, of the given instances or,
+// without any, of the whole fleet.
+func (h history) unplanned(from, to time.Duration, instances ...int) (disruption, bool) {
+	for i, list := range h {
+		if len(instances) > 0 && i != all && !slices.Contains(instances, i) {
+			continue
+		}
+		for _, d := range list {
+			if !d.planned && d.from <= to && (d.to == 0 || d.to >= from) {
+				return d, true
+			}
+		}
+	}
+	return disruption{}, false
+}
+
+// lastStop returns the start of the last planned stop of an instance before a time.
+func (h history) lastStop(instance int, before time.Duration) (time.Duration, bool) {
+	var last time.Duration
+	found := false
+	for _, d := range h[instance] {
+		if d.kind == kindStop && d.from <= before && (!found || d.from > last) {
+			last, found = d.from, true
+		}
+	}
+	return last, found
+}
+
+// kindStop is the kind of the disruption of a planned stop.
+const kindStop = "stop"
+
+// journal holds the requests, the disruptions and the breaches of a soak.
+type journal struct {
+	start    time.Time
+	out      io.Writer
+	stopped  chan struct{}
+	requests *table.Table[string, *request]
+
+	mu       *lock.Mutex
+	history  history
+	breaches []breach
+	reported map[string]bool
+	counts   map[string]int
+	// due holds the requests that have ended and have not been checked, the oldest first.
+	due []ending
+}
+
+// ending is the end of a request.
+type ending struct {
+	id string
+	at time.Duration
+}
+
+// breach is a broken rule.
+type breach struct {
+	rule, text string
+}
+
+func newJournal(start time.Time, out io.Writer) *journal {
+	j := &journal{
+		start: start, out: out, stopped: make(chan struct{}),
+		requests: table.New[string, *request](lock.Claims), mu: lock.New(lock.Counters),
+		history: make(history), reported: make(map[string]bool), counts: make(map[string]int),
+	}
+	go j.checkEnded()
+	return j
+}
+
+const (
+	// checkDelay is how long after its end a request is checked. A backend server may run it
+	// meanwhile.
+	checkDelay    = time.Second
+	checkInterval = 200 * time.Millisecond
+)
+
+// checkEnded checks the requests that have ended, until the journal is finished.
+func (j *journal) checkEnded() {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-j.stopped:
+			return
+		case <-ticker.C:
+		}
+		j.mu.Lock()
+		n := 0
+		for n < len(j.due) && j.due[n].at+checkDelay < j.now() {
+			n++
+		}
+		due := j.due[:n]
+		j.due = j.due[n:]
+		j.mu.Unlock()
+		for _, e := range due {
+			j.check(e.id)
+		}
+	}
+}
+
+// finish checks all requests once more, since backend servers may have run them after the
+// first check.
+func (j *journal) finish() {
+	time.Sleep(checkDelay)
+	close(j.stopped)
+	var ids []string
+	j.requests.Each(func(id string, _ *request) { ids = append(ids, id) })
+	for _, id := range ids {
+		j.check(id)
+	}
+}
+
+// ended records that a request has ended.
+func (j *journal) ended(id, shape string, o outcome) {
+	name := shape + ", " + o.kind.String()
+	if o.status != 0 {
+		name += fmt.Sprint(" ", o.status)
+	}
+	if o.status >= 400 {
+		name += " " + o.detail
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts[name]++
+	j.due = append(j.due, ending{id, j.now()})
+}
+
+// broken returns the breaches.
+func (j *journal) broken() []breach {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.breaches)
+}
+
+// note prints a line with the time.
+func (j *journal) note(text string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	_, _ = fmt.Fprintf(j.out, "%9.3f %s\n", j.now().Seconds(), text)
+}
+
+// disturbed returns an unplanned disruption of an instance in the time before now.
+func (j *journal) disturbed(instance int, before time.Duration) (disruption, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.history.unplanned(j.now()-before, j.now(), instance)
+}
+
+// printSummary prints how many requests had each outcome and how often each rule was broken.
+func (j *journal) printSummary(title string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(j.counts)) {
+		_, _ = fmt.Fprintf(j.out, "%8d %s\n", j.counts[name], name)
+	}
+	broken := make(map[string]int)
+	for _, b := range j.breaches {
+		broken[b.rule]++
+	}
+	_, _ = fmt.Fprintf(j.out, "soak: %s: %d breaches %v\n", title, len(j.breaches), broken)
+}
+
+func (j *journal) now() time.Duration { return time.Since(j.start) }
+
+// update changes the entry of a request. It returns false if there is none.
+func (j *journal) update(id string, f func(r *request)) (ok bool) {
+	j.requests.Update(id, func(r *request, known bool) (*request, bool) {
+		if ok = known; ok {
+			f(r)
+		}
+		return r, known
+	})
+	return ok
+}
+
+// snapshot returns a copy of a request.
+func (j *journal) snapshot(id string) (c request) {
+	j.update(id, func(r *request) {
+		c = *r
+		c.runs = slices.Clone(r.runs)
+	})
+	return c
+}
+
+// received records that a backend server has read the head of a request.
+func (j *journal) received(id string) {
+	j.update(id, func(r *request) { r.received++ })
+}
+
+// ran records that a backend server begins to run a request. The values are those that it
+// received. It returns the position of the run in the list of runs.
+func (j *journal) ran(instance int, id, method, target, customer, service string, body []byte) (n int) {
+	at := j.now()
+	known := j.update(id, func(r *request) {
+		var wrong []string
+		for _, v := range []struct{ name, got, want string }{
+			{"method", method, r.method},
+			{"target", target, r.target},
+			{"customer", customer, r.customer},
+			{"service", service, r.service},
+			{"body", fmt.Sprintf("%d/%08x", len(body), crc32.ChecksumIEEE(body)), fmt.Sprintf("%d/%08x", r.bodySize, r.bodySum)},
+		} {
+			if v.got != v.want {
+				wrong = append(wrong, fmt.Sprintf("%s %q, not %q", v.name, v.got, v.want))
+			}
+		}
+		n = len(r.runs)
+		r.runs = append(r.runs, execution{instance: instance, at: at, wrong: strings.Join(wrong, ", ")})
+	})
+	if !known {
+		j.report(breach{"UNASKED", fmt.Sprintf("%s %s with the unknown id %q runs at instance %d", method, target, id, instance)}, "unknown "+id)
+	}
+	return n
+}
+
+// finished records the end of a run.
+func (j *journal) finished(id string, n int) {
+	at := j.now()
+	j.update(id, func(r *request) { r.runs[n].until = at })
+}
+
+// disrupt records the beginning of a disruption and returns the function that ends it.
+func (j *journal) disrupt(instance int, kind string, planned bool) (end func()) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := len(j.history[instance])
+	j.history[instance] = append(j.history[instance], disruption{kind: kind, planned: planned, from: j.now()})
+	return func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.history[instance][n].to = j.now()
+	}
+}
+
+// check applies the rules to a request and reports the breaches that are new. It returns
+// these.
+func (j *journal) check(id string) {
+	r := j.snapshot(id)
+	j.mu.Lock()
+	found := judge(&r, j.history)
+	text := describe(&r, j.history)
+	j.mu.Unlock()
+	for _, b := range found {
+		b.text += "\n" + text
+		j.report(b, b.rule+id)
+	}
+}
+
+// report prints a breach, unless one with the same key has been reported.
+func (j *journal) report(b breach, key string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.reported[key] {
+		return
+	}
+	j.reported[key] = true
+	j.breaches = append(j.breaches, b)
+	_, _ = fmt.Fprintf(j.out, "%9.3f %s %s: %s\n", j.now().Seconds(), time.Now().UTC().Format(time.RFC3339Nano), b.rule, b.text)
+}
+
+// describe returns what the caller and the backend servers saw of a request, and the times
+// since the last SIGTERM of the instances concerned.
+func describe(r *request, h history) string {
+	var b strings.Builder
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, "          "+format+"\n", args...) }
+	line("%s, %s %s %s at instance %d, idempotent %t", r.id, r.shape, r.method, r.target, r.instance, r.idempotent)
+	end := fmt.Sprintf("%s %d", r.outcome.kind, r.outcome.status)
+	if r.outcome.detail != "" {
+		end += ": " + r.outcome.detail
+	}
+	line("caller: head sent %s, all sent %s, ended %s, %s", seconds(r.begun), seconds(r.sent), seconds(r.ended), end)
+	for _, i := range r.concerned() {
+		if at, ok := h.lastStop(i, r.ended); ok {
+			line("instance %d: SIGTERM %s, head sent %+.3f s and ended %+.3f s after it", i, seconds(at), (r.begun - at).Seconds(), (r.ended - at).Seconds())
+		}
+	}
+	for _, run := range r.runs {
+		line("backend server of instance %d: runs %s until %s %s", run.instance, seconds(run.at), seconds(run.until), run.wrong)
+	}
+	if len(r.runs) == 0 {
+		line("no backend server has run it, %d received it", r.received)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// concerned returns the instances that took part in a request, as far as it is known.
+func (r *request) concerned() []int {
+	list := []int{r.instance}
+	for _, run := range r.runs {
+		if !slices.Contains(list, run.instance) {
+			list = append(list, run.instance)
+		}
+	}
+	return list
+}
+
+func seconds(d time.Duration) string {
+	if d == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.3f", d.Seconds())
+}
