--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -31,12 +32,18 @@
 		fmt.Print(soak.Schedule(o))
 		return nil
 	}
-	if err := soak.Run(o, os.Stdout); err != nil {
+	broken, err := soak.Run(o, os.Stdout)
+	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
+	if len(broken) > 0 {
+		return errBroken
+	}
 	return nil
 }
 
+var errBroken = errors.New("rules were broken")
+
 func main() {
 	var c command
 	ctx := kong.Parse(&c, kong.Name("soak"), kong.UsageOnError())
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -218,9 +218,10 @@
 	}
 	_ = x.caller.conn.SetDeadline(time.Now().Add(deadline + patience))
 	if x.leave > 0 {
+		conn := x.caller.conn
 		timer := time.AfterFunc(x.leave, func() {
 			x.left.Store(true)
-			_ = x.caller.conn.Close()
+			_ = conn.Close()
 		})
 		defer timer.Stop()
 	}
@@ -242,7 +243,7 @@
 	for n, m := range x.messages {
 		outcome := seen[n].outcome
 		if begun[n] == 0 {
-			outcome.kind = left
+			outcome.kind = unsent
 		}
 		j.update(m.request.id, func(r *request) {
 			r.begun, r.sent, r.ended, r.outcome = begun[n], sent[n], seen[n].ended, outcome
@@ -289,6 +290,8 @@
 		o, last := x.read(m.request)
 		seen[n].outcome, seen[n].ended = o, j.now()
 		if o.kind == answered && !last {
+			// Requests that are not safe wait for the responses before.
+			_ = x.caller.conn.SetDeadline(time.Now().Add(deadline + patience))
 			continue
 		}
 		if o.kind == answered {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -94,7 +94,11 @@
 func newFleet(program, dir string, size int, proxied bool, j *journal) (*fleet, error) {
 	f := &fleet{program: program, dir: dir, journal: j, links: make(map[[2]int][]*link)}
 	f.firstStart.Store(true)
-	f.chooseAddresses()
+	l, err := f.listenForStore()
+	if err != nil {
+		return f, err
+	}
+	f.store = newStore(l)
 	for n := range size {
 		i := &instance{
 			index: n, service: services[n%len(services)], centre: centres[(n+n/len(services))%len(centres)],
@@ -107,11 +111,6 @@
 		}
 		f.instances = append(f.instances, i)
 	}
-	s, err := newStore(f.storeAddress())
-	if err != nil {
-		return f, err
-	}
-	f.store = s
 	if proxied {
 		if err := f.connect(); err != nil {
 			return f, err
@@ -128,18 +127,20 @@
 	return f, nil
 }
 
-// chooseAddresses chooses loopback addresses that no other program listens at. They lie below
-// the ports of outgoing connections.
-func (f *fleet) chooseAddresses() {
-	for range 20 {
+// addressAttempts is how many addresses are tried for the store.
+const addressAttempts = 20
+
+// listenForStore chooses loopback addresses for the fleet that no other program uses, and ports
+// below those of outgoing connections.
+func (f *fleet) listenForStore() (l net.Listener, err error) {
+	for range addressAttempts {
 		f.prefix = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), 1+rand.IntN(250))
 		f.port = 20000 + rand.IntN(8000)
-		l, err := net.Listen("tcp", f.storeAddress())
-		if err == nil {
-			_ = l.Close()
-			return
+		if l, err = net.Listen("tcp", f.storeAddress()); err == nil {
+			return l, nil
 		}
 	}
+	return nil, fmt.Errorf("listen for store: %w", err)
 }
 
 func (f *fleet) storeAddress() string { return f.prefix + "250:" + strconv.Itoa(f.port+portStore) }
@@ -226,7 +227,7 @@
 	if p.killed.Load() || p.stopped.Load() && err == nil {
 		return
 	}
-	end := f.journal.disrupt(i.index, "own end", false)
+	end := f.journal.disrupt(i.index, kindOwnEnd, false)
 	defer end()
 	f.journal.report(breach{"ENDED", fmt.Sprintf("the daemon of instance %d (%s, process %d) ended by itself: %v", i.index, i.name, p.cmd.Process.Pid, err)}, p.settings)
 	i.processGuard.acquire()
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -59,10 +59,12 @@
 	crossed
 	// left means that the caller closed the connection.
 	left
+	// unsent means that the connection ended before the request was begun.
+	unsent
 )
 
 func (k outcomeKind) String() string {
-	return [...]string{"pending", "answered", "cut", "silent", "crossed", "left"}[k]
+	return [...]string{"pending", "answered", "cut", "silent", "crossed", "left", "unsent"}[k]
 }
 
 // execution is a run of a request at a backend server.
@@ -94,7 +96,11 @@
 			continue
 		}
 		for _, d := range list {
-			if !d.planned && d.from <= to && (d.to == 0 || d.to >= from) {
+			begun := d.from
+			if d.kind == kindOwnEnd {
+				begun -= noticed
+			}
+			if !d.planned && begun <= to && (d.to == 0 || d.to >= from) {
 				return d, true
 			}
 		}
@@ -114,8 +120,15 @@
 	return last, found
 }
 
-// kindStop is the kind of the disruption of a planned stop.
-const kindStop = "stop"
+// Kinds of disruptions that the rules look for: a planned stop, and the end of a daemon that
+// nothing has ended, which is a breach of its own.
+const (
+	kindStop   = "stop"
+	kindOwnEnd = "own end"
+)
+
+// noticed is how long after the end of a process its parent may see that.
+const noticed = 250 * time.Millisecond
 
 // journal holds the requests, the disruptions and the breaches of a soak.
 type journal struct {
@@ -212,13 +225,6 @@
 	j.due = append(j.due, ending{id, j.now()})
 }
 
-// broken returns the breaches.
-func (j *journal) broken() []breach {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return slices.Clone(j.breaches)
-}
-
 // note prints a line with the time.
 func (j *journal) note(text string) {
 	j.mu.Lock()
@@ -233,8 +239,9 @@
 	return j.history.unplanned(j.now()-before, j.now(), instance)
 }
 
-// printSummary prints how many requests had each outcome and how often each rule was broken.
-func (j *journal) printSummary(title string) {
+// summarize prints how many requests had each outcome. It returns how often each rule was
+// broken.
+func (j *journal) summarize(title string) map[string]int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, name := range slices.Sorted(maps.Keys(j.counts)) {
@@ -245,6 +252,7 @@
 		broken[b.rule]++
 	}
 	_, _ = fmt.Fprintf(j.out, "soak: %s: %d breaches %v\n", title, len(j.breaches), broken)
+	return broken
 }
 
 func (j *journal) now() time.Duration { return time.Since(j.start) }
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -48,11 +48,7 @@
 // firstRevision is the store's revision at its start. Zero would mean that it holds nothing.
 const firstRevision = 100
 
-func newStore(address string) (*store, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen for store: %w", err)
-	}
+func newStore(l net.Listener) *store {
 	s := &store{mu: lock.New(lock.Store), revision: firstRevision, items: make(map[string]wireItem), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.serveKey)
@@ -60,7 +56,7 @@
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
 	s.server = &http.Server{Handler: mux}
 	go func() { _ = s.server.Serve(l) }()
-	return s, nil
+	return s
 }
 
 // put writes a value.
