--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -82,17 +82,14 @@
 	from, to time.Duration
 }
 
-// history holds the disruptions of each instance, and of the whole fleet under the index all.
+// history holds the disruptions of each instance.
 type history map[int][]disruption
 
-// all is the index of disruptions that concern every instance.
-const all = -1
-
-// unplanned returns the first unplanned disruption in an interval, of the given instances or,
-// without any, of the whole fleet.
-func (h history) unplanned(from, to time.Duration, instances ...int) (disruption, bool) {
+// unplanned reports whether there was an unplanned disruption in an interval, of the given
+// instances or, without any, of the whole fleet.
+func (h history) unplanned(from, to time.Duration, instances ...int) bool {
 	for i, list := range h {
-		if len(instances) > 0 && i != all && !slices.Contains(instances, i) {
+		if len(instances) > 0 && !slices.Contains(instances, i) {
 			continue
 		}
 		for _, d := range list {
@@ -101,11 +98,11 @@
 				begun -= noticed
 			}
 			if !d.planned && begun <= to && (d.to == 0 || d.to >= from) {
-				return d, true
+				return true
 			}
 		}
 	}
-	return disruption{}, false
+	return false
 }
 
 // lastStop returns the start of the last planned stop of an instance before a time.
@@ -232,8 +229,9 @@
 	_, _ = fmt.Fprintf(j.out, "%9.3f %s\n", j.now().Seconds(), text)
 }
 
-// disturbed returns an unplanned disruption of an instance in the time before now.
-func (j *journal) disturbed(instance int, before time.Duration) (disruption, bool) {
+// disturbed reports whether there was an unplanned disruption of an instance in the time before
+// now.
+func (j *journal) disturbed(instance int, before time.Duration) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.history.unplanned(j.now()-before, j.now(), instance)
@@ -327,8 +325,7 @@
 	}
 }
 
-// check applies the rules to a request and reports the breaches that are new. It returns
-// these.
+// check applies the rules to a request and reports the breaches that are new.
 func (j *journal) check(id string) {
 	r := j.snapshot(id)
 	j.mu.Lock()
@@ -354,7 +351,8 @@
 }
 
 // describe returns what the caller and the backend servers saw of a request, and the times
-// since the last SIGTERM of the instances concerned.
+// since the last SIGTERM of the instances concerned and of others that were stopped shortly
+// before.
 func describe(r *request, h history) string {
 	var b strings.Builder
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(&b, "          "+format+"\n", args...) }
@@ -364,8 +362,10 @@
 		end += ": " + r.outcome.detail
 	}
 	line("caller: head sent %s, all sent %s, ended %s, %s", seconds(r.begun), seconds(r.sent), seconds(r.ended), end)
-	for _, i := range r.concerned() {
-		if at, ok := h.lastStop(i, r.ended); ok {
+	concerned := r.concerned()
+	for _, i := range slices.Sorted(maps.Keys(h)) {
+		at, ok := h.lastStop(i, r.ended)
+		if ok && (slices.Contains(concerned, i) || r.ended < at+busy) {
 			line("instance %d: SIGTERM %s, head sent %+.3f s and ended %+.3f s after it", i, seconds(at), (r.begun - at).Seconds(), (r.ended - at).Seconds())
 		}
 	}
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -68,7 +68,7 @@
 	case r.sent == 0 && r.ended-r.begun > lost:
 		text = fmt.Sprintf("its connection ended without a response %.3f s after its head, before its body was sent", (r.ended - r.begun).Seconds())
 	}
-	if _, ok := h.unplanned(r.begun-contact, r.ended, r.concerned()...); ok {
+	if h.unplanned(r.begun-contact, r.ended, r.concerned()...) {
 		return ""
 	}
 	return text
@@ -102,7 +102,7 @@
 	default:
 		return ""
 	}
-	if _, ok := h.unplanned(r.begun-contact, r.ended); ok {
+	if h.unplanned(r.begun-contact, r.ended) {
 		return ""
 	}
 	return fmt.Sprintf("%d %s, but no backend server received it", r.outcome.status, r.outcome.detail)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,7 +51,7 @@
 	}
 	broken, err = playIn(o, dir, out)
 	if err != nil || len(broken) > 0 {
-		_, _ = fmt.Fprintln(out, "logs are kept in", dir)
+		_, _ = fmt.Fprintf(out, "logs are kept in %s; history of a request: cat %s/*.log | lycheehead explain ID\n", dir, dir)
 		return broken, err
 	}
 	if err := os.RemoveAll(dir); err != nil {
@@ -199,7 +199,7 @@
 	select {
 	case <-p.ended:
 	case <-time.After(grace - time.Since(begin)):
-		if _, ok := f.journal.disturbed(i.index, grace); !ok {
+		if !f.journal.disturbed(i.index, grace) {
 			f.journal.report(breach{"STOP", fmt.Sprintf("instance %d (%s) still ran %s after SIGTERM", i.index, i.name, grace)}, p.settings)
 		}
 		p.killed.Store(true)
