--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -41,16 +41,18 @@
 	slots    chan struct{}
 	waiting  chan struct{}
 	server   *http.Server
+	// call makes the call that some requests need, and reports whether it has been served.
+	call func(id string, run int) bool
 }
 
 // startBackend starts a backend server that listens on an address.
-func startBackend(id string, instance int, address string, j *journal) (*backend, error) {
+func startBackend(id string, instance int, address string, j *journal, call func(id string, run int) bool) (*backend, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for backend server: %w", err)
 	}
 	b := &backend{
-		id: id, instance: instance, born: time.Now(), journal: j,
+		id: id, instance: instance, born: time.Now(), journal: j, call: call,
 		slots: make(chan struct{}, backendSlots), waiting: make(chan struct{}, backendSlots),
 	}
 	b.server = &http.Server{Handler: b}
@@ -99,6 +101,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if !b.call(id, n) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	answer := answerOf(b.id, id, strings.Contains(r.URL.Path, largePath))
 	w.Header().Set(fieldSeal, seal(b.id, id, answer))
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -29,6 +29,7 @@
 	shapePipeline = "pipelined"
 	shapeLeave    = "leaving"
 	shapeExtra    = "extra route"
+	shapeCall     = "call"
 )
 
 var shapes = []string{
@@ -79,15 +80,11 @@
 			return
 		case <-time.After(drawDuration(c.draw, c.pause)):
 		}
-		if c.conn == nil {
-			conn, err := net.DialTimeout("tcp", c.address, time.Second)
-			if err != nil {
-				time.Sleep(redialPause)
-				continue
-			}
-			c.conn, c.reader = conn, bufio.NewReader(conn)
+		if c.conn == nil && !c.dial() {
+			time.Sleep(redialPause)
+			continue
 		}
-		x := c.newExchange()
+		x := c.newExchange(shapes[c.draw.IntN(len(shapes))])
 		x.run()
 		if !x.reusable {
 			c.hangUp()
@@ -95,6 +92,39 @@
 	}
 }
 
+// dial opens a connection. It returns false if the daemon does not accept it.
+func (c *caller) dial() bool {
+	conn, err := net.DialTimeout("tcp", c.address, time.Second)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	return true
+}
+
+// callInterval is how many requests have one that needs a call.
+const callInterval = 5
+
+// call makes the call that a run of a request at an instance's backend server needs, if it needs
+// one, through the instance's daemon. It reports whether the call has been served.
+func (f *fleet) call(i *instance, id string, run int) bool {
+	sum := crc32.ChecksumIEEE([]byte(id))
+	if sum%callInterval != 0 || i.service == services[len(services)-1] {
+		return true
+	}
+	c := &caller{
+		fleet: f, instance: i, address: i.address(f.port + portOutbound),
+		draw: rand.New(rand.NewPCG(uint64(sum), uint64(run))), prefix: fmt.Sprintf("c%x%s.", run, id),
+	}
+	if !c.dial() {
+		return false
+	}
+	defer c.hangUp()
+	x := c.newExchange(shapeCall)
+	x.run()
+	return f.journal.snapshot(x.messages[0].request.id).outcome.status == http.StatusOK
+}
+
 func (c *caller) hangUp() {
 	if c.conn != nil {
 		_ = c.conn.Close()
@@ -121,6 +151,7 @@
 	}
 	r.customer = "customer-" + string("ab"[c.draw.IntN(2)])
 	m := &message{request: r}
+	authorization := "Authorization: Bearer " + customerKeys[r.customer] + "\r\n"
 	host, version, framing := hostRead, "1.1", ""
 	size, pieces, pause := 0, 1, time.Duration(0)
 	switch shape {
@@ -138,6 +169,8 @@
 		}
 	case shapeExtra:
 		host = hostExtra
+	case shapeCall:
+		host, r.customer, authorization = hostCall, "", ""
 	}
 	switch shape {
 	case shapeSlow:
@@ -174,8 +207,8 @@
 	if c.draw.IntN(4) == 0 {
 		framing += fieldCustomer + ": customer-c\r\n" + fieldService + ": nobody\r\n"
 	}
-	m.head = fmt.Sprintf("%s %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s: %d\r\n%s\r\n",
-		r.method, r.target, version, host, fieldID, r.id, customerKeys[r.customer], fieldDeadline, deadline.Milliseconds(), framing)
+	m.head = fmt.Sprintf("%s %s HTTP/%s\r\nHost: %s\r\n%s: %s\r\n%s%s: %d\r\n%s\r\n",
+		r.method, r.target, version, host, fieldID, r.id, authorization, fieldDeadline, deadline.Milliseconds(), framing)
 	return m
 }
 
@@ -193,8 +226,7 @@
 	proceed, done chan struct{}
 }
 
-func (c *caller) newExchange() *exchange {
-	shape := shapes[c.draw.IntN(len(shapes))]
+func (c *caller) newExchange(shape string) *exchange {
 	x := &exchange{caller: c, slow: shape == shapeLarge, proceed: make(chan struct{}, 1), done: make(chan struct{})}
 	n := 1
 	switch shape {
--- a/internal/soak/fake_test.go
+++ b/internal/soak/fake_test.go
@@ -135,6 +135,7 @@
 			p.Out.URL.Scheme, p.Out.URL.Host = "http", address
 			p.Out.Header.Set(fieldService, f.settings["service"])
 			p.Out.Header.Del("Authorization")
+			p.Out.Header.Del(fieldCustomer)
 			for customer, key := range customerKeys {
 				if strings.HasSuffix(r.Header.Get("Authorization"), key) {
 					p.Out.Header.Set(fieldCustomer, customer)
@@ -175,7 +176,7 @@
 	switch host {
 	case hostBook:
 		service = services[1]
-	case hostUpload:
+	case hostUpload, hostCall:
 		service = services[2]
 	}
 	resp, err := http.Get("http://" + f.settings["provider.address"] + "/kv-range?prefix=servers/")
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -168,7 +168,8 @@
 // startBackend starts the next incarnation of a backend server and publishes it.
 func (f *fleet) startBackend(i *instance) error {
 	i.backends++
-	b, err := startBackend(fmt.Sprintf("i-%s-%d", i.name, i.backends), i.index, i.address(f.port+portBackend), f.journal)
+	b, err := startBackend(fmt.Sprintf("i-%s-%d", i.name, i.backends), i.index, i.address(f.port+portBackend), f.journal,
+		func(id string, run int) bool { return f.call(i, id, run) })
 	if err != nil {
 		return err
 	}
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -44,6 +44,7 @@
 	hostBook   = "book.example"
 	hostUpload = "upload.example"
 	hostExtra  = "extra.example"
+	hostCall   = "call.example"
 	pathPrefix = "/v/"
 	largePath  = "/large/"
 )
@@ -64,15 +65,18 @@
 		}
 		c.Resources = append(c.Resources, wireResource{Type: kind, Metadata: metadata, Spec: spec})
 	}
-	route := func(name, host, kind, service string) {
-		add("routes", name, map[string]any{
+	route := func(name, host, kind, service string) map[string]any {
+		spec := map[string]any{
 			"hostname": host, "prefix": pathPrefix, "type": kind, "timeout-s": routeTimeout.Seconds(), "target-latency-s": 1,
 			"priority": 1, "service": service, "max-attempts": 2, "allow-anonymous": false,
-		})
+		}
+		add("routes", name, spec)
+		return spec
 	}
 	route("read", hostRead, "safe", services[0])
 	route("book", hostBook, "unsafe", services[1])
 	route("upload", hostUpload, "upload", services[2])
+	route("call", hostCall, "safe", services[2])["allow-anonymous"] = true
 	if version%2 == 0 {
 		route(fmt.Sprintf("extra-%d", version), hostExtra, "safe", services[0])
 	}
