Go on when the reader of the log has gone

Go's runtime ends the process with SIGPIPE when a write to standard output or standard error fails with EPIPE, unless the program handles or ignores that signal. Nothing did, so whoever collected the log and restarted, rotated or died took the daemons with it.

The daemons ignore SIGPIPE. A write then returns its error, whichever library makes it and to whichever of the two streams, and the signal of the kernel for writes of the runtime itself is ignored as well.

One-shot commands still end by SIGPIPE, as programs in a shell pipeline do: they have nobody to serve, and going on after "| head" has read enough would only report an error for it.

--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -5,10 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -52,8 +50,7 @@
 	if c.Check {
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	received := notifySignals()
 	http1.DelaySignalShutdown(settings.ShutdownTimeout(s) + 2*closeTimeout)
 	limitResources()
 	log := newLogger(s)
@@ -68,7 +65,7 @@
 		return fmt.Errorf("run: %w", err)
 	}
 	d.Start()
-	<-ctx.Done()
+	<-received.stop
 	return shutdown(s, d, servers)
 }
 
--- a/cmd/lycheehead/signals.go
+++ b/cmd/lycheehead/signals.go
@@ -14,8 +14,10 @@
 }
 
 // notifySignals begins to receive signals. Without it SIGTERM, SIGINT and SIGHUP end the
-// process at once.
+// process at once, and so does a write to standard output or standard error once its reader
+// has gone, by SIGPIPE. Ignored, it leaves the error of the write.
 func notifySignals() *signals {
+	signal.Ignore(syscall.SIGPIPE)
 	s := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,8 +27,10 @@
 	}
 }
 
-// waitForSignal blocks until the process receives SIGTERM or SIGINT.
+// waitForSignal blocks until the process receives SIGTERM or SIGINT. It ignores SIGPIPE, with
+// which a write ends the process once nobody reads its output.
 func waitForSignal() {
+	signal.Ignore(syscall.SIGPIPE)
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
 	<-c
