Receive signals from the start of the programs

Where a restart or reload crossed the start of a daemon, it either ended at once or, worse, went on: it became ready, took requests, and was killed with them at the end of the grace time, since it began its planned stop only after that.

Three causes: - Signals were received only after the settings had been read and checked. SIGHUP before that ended the process. - go-zero receives SIGTERM and SIGINT from the initialization of its package on. A signal to stop that came before our own Notify reached only go-zero, which sends it again when it would kill the process: 5.5 s later, or, as DelaySignalShutdown had been called meanwhile, three grace times later. - run and standin did not receive SIGHUP at all.

Evidence, testdata/process/signals with the settings file a named pipe, so that signals arrive while the program reads it. Before, with a grace time of 4 s:

sidecar, term while reading -> exit status 0, ended after 11.811198213s sidecar and run, hup -> signal: hangup standin, hup while serving -> signal: hangup

Signals are received as the first thing in main, SIGTERM is also taken from go-zero's channel if go-zero got it before, and go-zero's own reaction is put off for good. Nothing can be done about signals in the 8 ms before: they end the process, which has taken no request yet.

run has no settings to reload and logs "hangup ignored": an operator who hangs up or rotates the log does not expect a daemon to end. standin, whose tests signal whole groups, ignores it.

One-shot commands have nothing to stop, so signals end them at once. Before, go-zero delayed that by 5.5 s ("check ... signal: terminated, ended after 5.504846067s").

--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -5,9 +5,12 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/zeromicro/go-zero/core/logx"
+
+	"github.com/lycheehead/lycheehead/internal/http1"
 )
 
 // Exit codes. Scripts rely on their values.
@@ -35,7 +38,13 @@
 	Explain explainCommand `cmd:"" help:"Print the history of a request, given the logs of any number of daemons on standard input."`
 }
 
+// libraryStopDelay puts off the HTTP library's own reaction to a signal to stop until after
+// any planned stop.
+const libraryStopDelay = time.Hour
+
 func main() {
+	http1.DelaySignalShutdown(libraryStopDelay)
+	received := notifySignals()
 	// The HTTP library's own log might contain keys.
 	logx.Disable()
 	var c commands
@@ -53,11 +62,25 @@
 		_, _ = fmt.Fprintln(os.Stderr, "lycheehead:", err)
 		os.Exit(exitUsage)
 	}
-	if err := ctx.Run(); err != nil {
+	if runsDaemon(ctx) {
+		ignoreBrokenPipes()
+	} else {
+		received.restoreDefaults()
+	}
+	if err := ctx.Run(received); err != nil {
 		fail(err)
 	}
 }
 
+// runsDaemon reports whether a command runs until a signal to stop.
+func runsDaemon(ctx *kong.Context) bool {
+	switch ctx.Command() {
+	case "run", "sidecar":
+		return true
+	}
+	return false
+}
+
 // fail prints an error and exits with its exit code.
 func fail(err error) {
 	_, _ = fmt.Fprintln(os.Stderr, "lycheehead:", err)
--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -166,6 +166,7 @@
 		"sidecar": {bin + "/lycheehead", "sidecar"},
 		"run":     {bin + "/lycheehead", "run", "-c", file},
 		"standin": {bin + "/standin", "backend", "--listen", p.address(metrics)},
+		"check":   {bin + "/lycheehead", "bundle", "check", file},
 		"help":    {bin + "/lycheehead", "--help"},
 	}[d.Cmd]
 	files := []*os.File{nil, nil, nil}
@@ -300,7 +301,7 @@
 			return errors.New(p.state.String())
 		default:
 		}
-	case "exit":
+	case "exit", "end":
 		begin := time.Now()
 		if err := p.await(func() bool {
 			select {
@@ -312,7 +313,9 @@
 		}); err != nil {
 			return err
 		}
-		p.result.WriteString(p.state.String() + "\n")
+		if words[0] == "exit" {
+			p.result.WriteString(p.state.String() + "\n")
+		}
 		if limit, err := time.ParseDuration(words[1]); err != nil || time.Since(begin) > limit {
 			return fmt.Errorf("ended after %s", time.Since(begin))
 		}
--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -7,7 +7,6 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -28,17 +27,13 @@
 	memoryLimitBytes = 96 << 20
 )
 
-// closeTimeout is the time allowed for closing the daemon after all requests have
-// ended. The HTTP library must not end the process before that.
-const closeTimeout = 3 * time.Second
-
 type runCommand struct {
 	Config string `short:"c" required:"" type:"existingfile" help:"Settings file."`
 	Check  bool   `help:"Check the settings and the files that they name, then exit."`
 }
 
 // Run runs the daemon until the process receives SIGTERM or SIGINT.
-func (c *runCommand) Run() error {
+func (c *runCommand) Run(received *signals) error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
 		return withCode(exitInvalid, "settings: %w", err)
@@ -50,8 +45,6 @@
 	if c.Check {
 		return nil
 	}
-	received := notifySignals()
-	http1.DelaySignalShutdown(settings.ShutdownTimeout(s) + 2*closeTimeout)
 	limitResources()
 	log := newLogger(s)
 	d, err := daemon.New(s, id, log)
@@ -65,7 +58,8 @@
 		return fmt.Errorf("run: %w", err)
 	}
 	d.Start()
-	<-received.stop
+	go logHangups(received.reload, log)
+	received.awaitStop()
 	return shutdown(s, d, servers)
 }
 
@@ -81,6 +75,13 @@
 	}
 }
 
+// logHangups logs each SIGHUP, which has no other effect.
+func logHangups(hangups <-chan os.Signal, log hclog.Logger) {
+	for range hangups {
+		log.Warn("hangup ignored", "reason", "settings are read only at the start")
+	}
+}
+
 func newLogger(s *schema.Settings) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
 		Name:       "lycheehead",
--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/sidecar"
@@ -20,7 +19,7 @@
 
 // Run runs the daemon beside a backend server until the process receives SIGTERM or
 // SIGINT.
-func (c *sidecarCommand) Run() error {
+func (c *sidecarCommand) Run(received *signals) error {
 	s, firstStart, err := loadSettings()
 	if err != nil {
 		return withCode(exitInvalid, "sidecar: %w", err)
@@ -28,8 +27,6 @@
 	if c.Check {
 		return nil
 	}
-	received := notifySignals()
-	http1.DelaySignalShutdown(2 * s.GetBounds().GetGrace().AsDuration())
 	limitResources()
 	store := platform.NewStore(s.GetStore())
 	p := sidecar.NewPlatform(platform.Headers{}, store, platform.NewDecoder(), platform.OperatorPrefix, platform.InstancePrefix)
@@ -42,7 +39,7 @@
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	go watchSettings(d, s, received.reload)
-	<-received.stop
+	received.awaitStop()
 	if err := d.Stop(); err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
--- a/cmd/lycheehead/signals.go
+++ b/cmd/lycheehead/signals.go
@@ -4,6 +4,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/zeromicro/go-zero/core/proc"
 )
 
 // signals holds the signals that the process has received and not handled. Each kind has a
@@ -14,12 +16,44 @@
 }
 
 // notifySignals begins to receive signals. Without it SIGTERM, SIGINT and SIGHUP end the
-// process at once, and so does a write to standard output or standard error once its reader
-// has gone, by SIGPIPE. Ignored, it leaves the error of the write.
+// process at once.
 func notifySignals() *signals {
-	signal.Ignore(syscall.SIGPIPE)
 	s := &signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
 	return s
 }
+
+// awaitStop waits for a signal to stop. The HTTP library holds one that arrived before
+// notifySignals.
+func (s *signals) awaitStop() {
+	select {
+	case <-s.stop:
+	case <-proc.Done():
+	}
+}
+
+// restoreDefaults makes signals end the process at once, as those do that have arrived.
+func (s *signals) restoreDefaults() {
+	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	select {
+	case received := <-s.stop:
+		raise(received)
+	case received := <-s.reload:
+		raise(received)
+	case <-proc.Done():
+		raise(syscall.SIGTERM)
+	default:
+	}
+}
+
+// ignoreBrokenPipes makes writes to standard output and standard error fail with an error once
+// their reader has gone. Without it they end the process by SIGPIPE.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
+// raise sends a signal to the process.
+func raise(s os.Signal) {
+	if number, ok := s.(syscall.Signal); ok {
+		_ = syscall.Kill(os.Getpid(), number)
+	}
+}
--- a/cmd/standin/backend.go
+++ b/cmd/standin/backend.go
@@ -18,7 +18,7 @@
 }
 
 // Run serves until the process receives SIGTERM or SIGINT.
-func (c *backendCommand) Run() error {
+func (c *backendCommand) Run(stop stopSignals) error {
 	model := standin.NewBackendModel(c.Slots, c.Connections, c.Work).
 		WithColdStart(c.Cold).WithRestartDelay(c.Down).WithLocalDaemon(c.Local)
 	b := standin.NewBackend(model)
@@ -26,6 +26,6 @@
 		return fmt.Errorf("backend: %w", err)
 	}
 	defer b.Stop()
-	waitForSignal()
+	<-stop
 	return nil
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -19,19 +19,23 @@
 }
 
 func main() {
+	stop := notifyStop()
 	var c commands
 	ctx := kong.Parse(&c, kong.Name("standin"), kong.UsageOnError())
-	if err := ctx.Run(); err != nil {
+	if err := ctx.Run(stop); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
 }
 
-// waitForSignal blocks until the process receives SIGTERM or SIGINT. It ignores SIGPIPE, with
-// which a write ends the process once nobody reads its output.
-func waitForSignal() {
-	signal.Ignore(syscall.SIGPIPE)
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	<-c
+// stopSignals receives SIGTERM and SIGINT.
+type stopSignals chan os.Signal
+
+// notifyStop begins to receive the signals to stop. It ignores SIGHUP, and SIGPIPE, with which
+// a write ends the process once nobody reads its output.
+func notifyStop() stopSignals {
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	s := make(stopSignals, 1)
+	signal.Notify(s, syscall.SIGTERM, syscall.SIGINT)
+	return s
 }
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -14,12 +14,12 @@
 }
 
 // Run serves until the process receives SIGTERM or SIGINT.
-func (c *platformCommand) Run() error {
-	_, stop, err := standin.Serve(c.Listen, standin.NewPlatform(c.Calls, c.Lag))
+func (c *platformCommand) Run(stop stopSignals) error {
+	_, closeServer, err := standin.Serve(c.Listen, standin.NewPlatform(c.Calls, c.Lag))
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	defer stop()
-	waitForSignal()
+	defer closeServer()
+	<-stop
 	return nil
 }
--- a/cmd/standin/publish.go
+++ b/cmd/standin/publish.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"time"
@@ -15,7 +16,10 @@
 	"github.com/lycheehead/lycheehead/internal/platformhttp"
 )
 
-var errRefused = eris.New("stand-in platform refused the request")
+var (
+	errRefused = eris.New("stand-in platform refused the request")
+	errStopped = eris.New("stopped by a signal")
+)
 
 const stampFileMode = 0o644
 
@@ -29,7 +33,12 @@
 
 // Run sets the mode, publishes the instance list and publishes the signed bundle, each if
 // it is given.
-func (c *publishCommand) Run() error {
+func (c *publishCommand) Run(stop stopSignals) error {
+	// The command serves nobody, so that signals may end it at once.
+	signal.Reset()
+	if len(stop) > 0 {
+		return errStopped
+	}
 	if c.Mode != "" {
 		if err := c.put("mode?mode="+c.Mode, nil); err != nil {
 			return err
