Count and report lines that the log could not write

After a full disk or another failed write, operators missed lines without a word: the error of the write was ignored, the lines were not counted as dropped, and the rest of a line that was cut off was lost, so that the next line was glued to it. Nothing in the metrics told that the log failed, and a report on dropped lines was lost like any other line, with its count.

After a failed write the Writer drops and counts lines until its report on that is accepted, and subtracts only what the report has told. It tries at each flush, every 250 ms, so that nothing spins. A write that takes a second or more is reported as a failure too; its lines are not lost. The output is a type of its own, apart from the decisions on what is dropped.

Reports say how long they cover (took), and explain counts dropped lines by that: before, a request in the middle of a long failure was told no drops.

A flush also begins when the buffer is half full, so that a burst is written as fast as the reader reads.

--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -293,8 +294,8 @@
 		s := p.streams[map[string]int{"output": 0, "error": 1}[words[0]]]
 		return p.await(func() bool { return strings.Contains(s.String(), text) })
 	case "metric":
-		text := strings.Join(words[1:], " ")
-		return p.await(func() bool { return p.answers(text) })
+		pattern := strings.Join(words[1:], " ")
+		return p.await(func() bool { return p.answers(pattern) })
 	case "alive":
 		select {
 		case <-p.ended:
@@ -325,8 +326,8 @@
 	return nil
 }
 
-// answers reports whether the process serves its metrics, with a given text.
-func (p *process) answers(text string) bool {
+// answers reports whether the process serves metrics that match a pattern.
+func (p *process) answers(pattern string) bool {
 	client := http.Client{Timeout: time.Second}
 	resp, err := client.Get("http://" + p.address(metrics) + "/metrics")
 	if err != nil {
@@ -334,7 +335,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return err == nil && strings.Contains(string(body), text)
+	return err == nil && regexp.MustCompile(pattern).Match(body)
 }
 
 // await waits until a condition is true.
--- a/internal/explain/history.go
+++ b/internal/explain/history.go
@@ -64,7 +64,8 @@
 // dropped lines.
 func (h *History) add(text []byte, id string) error {
 	start := bytes.IndexByte(text, '{')
-	if start < 0 || !bytes.Contains(text, []byte(id)) && !bytes.Contains(text, []byte(logs.DroppedMessage)) {
+	if start < 0 || !bytes.Contains(text, []byte(id)) && !bytes.Contains(text, []byte(logs.DroppedMessage)) &&
+		!bytes.Contains(text, []byte(logs.FailedMessage)) {
 		return nil
 	}
 	line := &schema.LogLine{}
@@ -72,7 +73,7 @@
 		return fmt.Errorf("decode: %w", err)
 	}
 	matches := line.GetRequest() == id || strings.HasPrefix(line.GetRequest(), id+".")
-	if !matches && line.GetText() != logs.DroppedMessage {
+	if !matches && line.GetText() != logs.DroppedMessage && line.GetText() != logs.FailedMessage {
 		return nil
 	}
 	at, err := time.Parse(time.RFC3339Nano, line.GetTime())
@@ -95,7 +96,10 @@
 func (h *History) droppedLines() int64 {
 	var n int64
 	for _, e := range h.dropped {
-		if h.Found() && (e.at.Before(h.entries[0].at.Add(-dropWindow)) || e.at.After(h.entries[len(h.entries)-1].at.Add(dropWindow))) {
+		// The lines were dropped in the time before the report. Reports of older daemons do not
+		// state it; it is zero then.
+		took, _ := time.ParseDuration(e.line.GetTook())
+		if h.Found() && (e.at.Before(h.entries[0].at.Add(-dropWindow)) || e.at.Add(-took).After(h.entries[len(h.entries)-1].at.Add(dropWindow))) {
 			continue
 		}
 		n += e.line.GetLines()
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -1,8 +1,6 @@
 package logs
 
 import (
-	"bytes"
-	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -13,10 +11,7 @@
 const (
 	// maxBufferBytes is the maximum size of the buffer.
 	maxBufferBytes = 256 << 10
-	// maxWriteBytes is the maximum size of a write. Writes to a pipe are atomic up to this
-	// size, so that readers get whole lines.
-	maxWriteBytes = 4 << 10
-	flushInterval = 250 * time.Millisecond
+	flushInterval  = 250 * time.Millisecond
 	// Rate limits of the classes.
 	successLinesPerSecond     = 150
 	attemptLinesPerSecond     = 150
@@ -43,25 +38,30 @@
 	numClasses
 )
 
-// DroppedMessage is the message of the line that reports the number of dropped lines.
-const DroppedMessage = "log lines dropped"
-
 // Writer is a log output of bounded rate and size that does not block. Use NewWriter to
 // create one.
 type Writer struct {
-	out io.Writer
 	// mu has rank lock.Logs and guards the fields below, up to unreported.
 	mu     *lock.Mutex
 	buffer []byte
 	// spare is the previous buffer, which is reused after it has been written.
 	spare   []byte
 	buckets [numClasses]tokenBucket
-	// unreported is the number of dropped lines since the last DroppedMessage line.
-	unreported int
+	// unreported counts the dropped lines that no line in the output has reported.
+	unreported drops
 	// dropped is the total number of dropped lines.
 	dropped atomic.Int64
+	// halfFull wakes the goroutine before lines have to be dropped.
+	halfFull chan struct{}
 	// stop is closed by Close, and stopped when the goroutine has ended.
 	stop, stopped chan struct{}
+	output        output
+}
+
+// drops is a number of dropped lines and when the first of them was dropped.
+type drops struct {
+	lines int
+	since time.Time
 }
 
 // tokenBucket limits the rate of lines. It allows a burst of the lines of one second.
@@ -84,10 +84,11 @@
 func NewWriter(out io.Writer) *Writer {
 	now := time.Now()
 	w := &Writer{
-		out:     out,
-		mu:      lock.New(lock.Logs),
-		stop:    make(chan struct{}),
-		stopped: make(chan struct{}),
+		mu:       lock.New(lock.Logs),
+		halfFull: make(chan struct{}, 1),
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+		output:   output{out: out},
 	}
 	for class, rate := range [numClasses]float64{Success: successLinesPerSecond, Attempt: attemptLinesPerSecond, Refusal: refusalLinesPerSecond, StateChange: stateChangeLinesPerSecond} {
 		w.buckets[class] = tokenBucket{rate: rate, tokens: rate, refilled: now}
@@ -102,30 +103,48 @@
 func (w *Writer) Allow(c Class) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.buckets[c].take(time.Now()) {
+	now := time.Now()
+	if w.buckets[c].take(now) {
 		return true
 	}
-	w.countDropped()
+	w.countDropped(now, 1)
 	return false
 }
 
-func (w *Writer) countDropped() {
-	w.unreported++
-	w.dropped.Add(1)
+// countDropped counts dropped lines. The caller holds mu.
+func (w *Writer) countDropped(now time.Time, lines int) {
+	if w.unreported.lines == 0 {
+		w.unreported.since = now
+	}
+	w.unreported.lines += lines
+	w.dropped.Add(int64(lines))
 }
 
 // Dropped returns the total number of dropped lines.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// Failures returns how often the output has failed: a write returned an error or was blocked.
+// It counts failures once until the output works again.
+func (w *Writer) Failures() int64 { return w.output.failures.Load() }
+
+// FailingFor returns how long the output has not worked, or zero if it works.
+func (w *Writer) FailingFor(now time.Time) time.Duration { return w.output.failingFor(now) }
+
 // Write implements io.Writer. p must consist of whole lines.
 func (w *Writer) Write(p []byte) (int, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.buffer)+len(p) > maxBufferBytes {
-		w.countDropped()
+		w.countDropped(time.Now(), countLines(p))
 		return len(p), nil
 	}
 	w.buffer = append(w.buffer, p...)
+	if len(w.buffer) > maxBufferBytes/2 {
+		select {
+		case w.halfFull <- struct{}{}:
+		default:
+		}
+	}
 	return len(p), nil
 }
 
@@ -137,6 +156,8 @@
 		select {
 		case <-t.C:
 			w.flush()
+		case <-w.halfFull:
+			w.flush()
 		case <-w.stop:
 			w.flush()
 			return
@@ -145,40 +166,36 @@
 }
 
 // flush writes out the buffer. A reader that does not read blocks only the goroutine of
-// the Writer.
+// the Writer. If the output has failed, the lines are dropped until it accepts a report.
 func (w *Writer) flush() {
+	begin := time.Now()
 	w.mu.Lock()
-	if w.unreported > 0 {
-		w.buffer = fmt.Appendf(w.buffer, `{"@level":"warn","@message":%q,"@timestamp":%q,"lines":%d}`+"\n",
-			DroppedMessage, time.Now().Format(time.RFC3339Nano), w.unreported)
-		w.unreported = 0
-	}
-	out := w.buffer
+	reported, lines := w.unreported, w.buffer
 	w.buffer = w.spare[:0]
 	w.mu.Unlock()
-	for rest := out; len(rest) > 0; {
-		n := min(maxWriteBytes, len(rest))
-		if i := bytes.LastIndexByte(rest[:n], '\n'); i >= 0 {
-			n = i + 1
-		}
-		// The error is ignored because it cannot be logged.
-		_, _ = w.out.Write(rest[:n])
-		rest = rest[n:]
+	lost := countLines(lines)
+	if w.output.report(reported) {
+		lost = w.output.writeLines(lines)
+	} else {
+		reported.lines = 0
 	}
 	w.mu.Lock()
-	w.spare = out[:0]
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	w.spare = lines[:0]
+	if reported.lines > 0 {
+		w.unreported = drops{lines: w.unreported.lines - reported.lines, since: begin}
+	}
+	if lost > 0 {
+		w.countDropped(begin, lost)
+	}
 }
 
-// closeTimeout bounds the time that Close waits for the buffer to be written.
-const closeTimeout = 200 * time.Millisecond
-
-// Close writes out the buffer and stops the Writer. If the reader is slow, it returns
-// after closeTimeout.
-func (w *Writer) Close() {
+// Close writes out the buffer and stops the Writer. If the output does not accept it within
+// the timeout, the rest is lost.
+func (w *Writer) Close(timeout time.Duration) {
 	close(w.stop)
 	select {
 	case <-w.stopped:
-	case <-time.After(closeTimeout):
+	case <-time.After(timeout):
 	}
 }
--- a/internal/logs/writer_test.go
+++ b/internal/logs/writer_test.go
@@ -50,7 +50,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		w.Close()
+		w.Close(time.Second)
 		count := func(line string) int { return strings.Count(out.text.String(), line) }
 		successes, refusals, changes := count("success"), count("refusal"), count("state change")
 		if successes > 11*150 || refusals > 11*300 || changes != 1000 || w.Dropped() != int64(20_000+30_000-successes-refusals) {
@@ -92,6 +92,6 @@
 	if w.Allow(logs.StateChange) {
 		_, _ = fmt.Fprintln(w, `{"@message":"start"}`)
 	}
-	w.Close()
+	w.Close(time.Second)
 	// Output: {"@message":"start"}
 }
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -201,7 +201,7 @@
 	node.net.mu.Unlock()
 	if wasRunning {
 		node.cancel()
-		node.out.Close()
+		node.out.Close(time.Second)
 	}
 }
 
