Leave the log less of the end of the grace time

A planned stop with requests open until the end, and a log output that is blocked, ended just before the platform's SIGKILL: the stop is planned to end 250 ms before the end of the grace time, and then waited 200 ms for the log. On a busy machine the rest is too short, and a process that is killed cuts the connections that it has not closed.

The time for the log now counts from the time at which the servers are closed at the latest, so that what the servers do not use is left for it, and both together are bounded.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -32,8 +32,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// closeTimeout bounds Close, which does not wait for open requests.
 	closeTimeout = 50 * time.Millisecond
-	// logTimeout bounds the time for writing out the log.
-	logTimeout = 200 * time.Millisecond
+	// logTimeout is how long after that the log may be written out, within exitBeforeEnd.
+	logTimeout = 100 * time.Millisecond
 )
 
 // shutdown is the state of a planned stop. The zero value is that of a daemon that is not
@@ -112,7 +112,7 @@
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
 	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load())
-	d.out.Close(logTimeout)
+	d.out.Close(time.Until(until.Add(logTimeout)))
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("close daemon: %w", err)
 	}
