Keep the log of run from holding up the daemon

A daemon that was started with run stopped answering, and did not stop, once nobody read its standard error and the pipe was full: each decision on a request waits for the lock of the logger, whose holder waits for the reader. The error that a daemon prints at its end could hold it up as well, and so could what a library writes to the standard logger, at sidecar too.

The log's state is in the metrics of run, as in those of sidecar, and when the reader comes back the log says "log output failed" and ends with the last line.

run logs through logs.Writer, as sidecar does: same lines and levels, 256 KB wait to be written, and what is beyond that is dropped and counted. Lines that wait are written at the end of the stop, for at most 100 ms. Its lines have no rate limits of classes, since they had none.

The standard logger leads to the log as well, with a class of its own, and the last error of a daemon is written for at most 100 ms. One-shot commands go on waiting for the reader, as a pager that pauses has to get all.

--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -64,9 +64,12 @@
 	}
 	if runsDaemon(ctx) {
 		ignoreBrokenPipes()
-	} else {
-		received.restoreDefaults()
+		if err := ctx.Run(received); err != nil {
+			failDaemon(err)
+		}
+		return
 	}
+	received.restoreDefaults()
 	if err := ctx.Run(received); err != nil {
 		fail(err)
 	}
--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -157,7 +157,8 @@
 }
 
 // start starts a program. Its settings are a named pipe, so that it waits for them until the
-// step "settings". They are written at once unless the script says early=true.
+// step "settings". They are written at once unless the script says early, and are no settings
+// if it says invalid.
 func (p *process) start(t *testing.T, bin string, d *datadriven.TestData) {
 	file := filepath.Join(p.dir, "settings")
 	if err := syscall.Mkfifo(file, keyMode); err != nil {
@@ -199,7 +200,11 @@
 		defer close(p.ended)
 		p.state, _ = p.process.Wait()
 	}()
-	go p.writeSettings(file, p.settings(d.Cmd))
+	settings := p.settings(d.Cmd)
+	if d.HasArg("invalid") {
+		settings = "invalid\n"
+	}
+	go p.writeSettings(file, settings)
 	if !d.HasArg("early") {
 		close(p.ready)
 	}
--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -14,6 +14,7 @@
 	"github.com/lycheehead/lycheehead/internal/callerhttp"
 	"github.com/lycheehead/lycheehead/internal/daemon"
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/settings"
 )
@@ -46,11 +47,15 @@
 		return nil
 	}
 	limitResources()
-	log := newLogger(s)
+	out := logs.NewWriter(os.Stderr)
+	defer out.Close(outputTimeout)
+	log := newLogger(out, settings.LogLevel(s), "slot", s.GetName(), "centre", s.GetCentre())
+	captureLibraryLog(out, log)
 	d, err := daemon.New(s, id, log)
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
+	d.SetLogOutput(out)
 	servers, err := serve(s, d, func(value any, stack []byte) {
 		log.Error("panic", "value", fmt.Sprint(value), "stack", string(stack))
 	})
@@ -82,15 +87,6 @@
 	}
 }
 
-func newLogger(s *schema.Settings) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       "lycheehead",
-		Level:      hclog.LevelFromString(settings.LogLevel(s)),
-		Output:     os.Stderr,
-		JSONFormat: true,
-	}).With("slot", s.GetName(), "centre", s.GetCentre())
-}
-
 // serve opens the listeners for callers, for the requests of the backend server and
 // for operators. onPanic is called when the handling of a request panics.
 func serve(s *schema.Settings, d *daemon.Daemon, onPanic func(value any, stack []byte)) ([]http1.Server, error) {
--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -28,14 +28,17 @@
 		return nil
 	}
 	limitResources()
+	out := logs.NewWriter(os.Stdout)
+	captureLibraryLog(out, newLogger(out, "info", "daemon", s.GetName(), "centre", s.GetCentre()))
 	store := platform.NewStore(s.GetStore())
 	p := sidecar.NewPlatform(platform.Headers{}, store, platform.NewDecoder(), platform.OperatorPrefix, platform.InstancePrefix)
-	d, err := sidecar.New(s, p, logs.NewWriter(os.Stdout), firstStart)
+	d, err := sidecar.New(s, p, out, firstStart)
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	store.SetOnUnreadable(d.ItemSkipped)
 	if err := d.Start(); err != nil {
+		out.Close(outputTimeout)
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	go watchSettings(d, s, received.reload)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -4,13 +4,20 @@
 
 import (
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/lycheehead/lycheehead/internal/logs"
 )
 
+// outputTimeout bounds the time for writing out the last lines.
+const outputTimeout = 100 * time.Millisecond
+
 // commands defines the subcommands. Its fields are exported because kong sets them.
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Run a stand-in for the configuration service."`
@@ -20,10 +27,14 @@
 
 func main() {
 	stop := notifyStop()
+	// The libraries' log must not wait for a reader.
+	out := logs.NewWriter(os.Stderr)
+	log.SetOutput(out)
 	var c commands
 	ctx := kong.Parse(&c, kong.Name("standin"), kong.UsageOnError())
 	if err := ctx.Run(stop); err != nil {
-		_, _ = fmt.Fprintln(os.Stderr, "standin:", err)
+		_, _ = fmt.Fprintln(out, "standin:", err)
+		out.Close(outputTimeout)
 		os.Exit(1)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/lycheehead/lycheehead/internal/bundle"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/peerquic"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/settings"
@@ -51,6 +52,8 @@
 	dispatcher *dispatcher
 	ingress    *ingress
 	cancel     context.CancelFunc
+	// logOutput is nil or the output of the log, whose state the metrics show.
+	logOutput *logs.Writer
 	// applyMu, of rank lock.Config, makes the components apply versions in the order in
 	// which the store put them in force.
 	applyMu *lock.Mutex
@@ -92,6 +95,10 @@
 	return d, nil
 }
 
+// SetLogOutput makes the metrics show the state of the output of the log. It must be called
+// before Start.
+func (d *Daemon) SetLogOutput(out *logs.Writer) { d.logOutput = out }
+
 func poolSize(s *schema.Settings) int {
 	if n := int(s.GetWorkers()); n > 0 {
 		return n
@@ -179,6 +186,11 @@
 	if age, ok := d.feed.confirmedAge(now); ok {
 		m.setGauge("confirmed_age_seconds", age.Seconds())
 	}
+	if out := d.logOutput; out != nil {
+		m.setGauge("log_lines_dropped", float64(out.Dropped()))
+		m.setGauge("log_output_failures", float64(out.Failures()))
+		m.setGauge("log_output_failing_seconds", out.FailingFor(now).Seconds())
+	}
 }
 
 // Serve handles one request from a caller or from the daemon's own backend server. The
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -17,6 +17,7 @@
 	attemptLinesPerSecond     = 150
 	refusalLinesPerSecond     = 300
 	stateChangeLinesPerSecond = 300
+	libraryLinesPerSecond     = 20
 )
 
 // Class is the class of a line. Each class has a rate limit of its own, so that many
@@ -35,6 +36,8 @@
 	// StateChange: a start or stop of the process, or a change in its state or in its view
 	// of other components.
 	StateChange
+	// Library: a line that a library wrote to the standard logger.
+	Library
 	numClasses
 )
 
@@ -90,7 +93,13 @@
 		stopped:  make(chan struct{}),
 		output:   output{out: out},
 	}
-	for class, rate := range [numClasses]float64{Success: successLinesPerSecond, Attempt: attemptLinesPerSecond, Refusal: refusalLinesPerSecond, StateChange: stateChangeLinesPerSecond} {
+	for class, rate := range [numClasses]float64{
+		Success:     successLinesPerSecond,
+		Attempt:     attemptLinesPerSecond,
+		Refusal:     refusalLinesPerSecond,
+		StateChange: stateChangeLinesPerSecond,
+		Library:     libraryLinesPerSecond,
+	} {
 		w.buckets[class] = tokenBucket{rate: rate, tokens: rate, refilled: now}
 	}
 	go w.run()
