--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -5,11 +5,8 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -17,6 +14,7 @@
 	"github.com/lycheehead/lycheehead/internal/callerhttp"
 	"github.com/lycheehead/lycheehead/internal/daemon"
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/settings"
 )
@@ -30,17 +28,13 @@
 	memoryLimitBytes = 96 << 20
 )
 
-// closeTimeout is the time allowed for closing the daemon after all requests have
-// ended. The HTTP library must not end the process before that.
-const closeTimeout = 3 * time.Second
-
 type runCommand struct {
 	Config string `short:"c" required:"" type:"existingfile" help:"Settings file."`
 	Check  bool   `help:"Check the settings and the files that they name, then exit."`
 }
 
 // Run runs the daemon until the process receives SIGTERM or SIGINT.
-func (c *runCommand) Run() error {
+func (c *runCommand) Run(received *signals) error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
 		return withCode(exitInvalid, "settings: %w", err)
@@ -52,15 +46,16 @@
 	if c.Check {
 		return nil
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	http1.DelaySignalShutdown(settings.ShutdownTimeout(s) + 2*closeTimeout)
 	limitResources()
-	log := newLogger(s)
+	out := logs.NewWriter(os.Stderr)
+	defer out.Close(outputTimeout)
+	log := newLogger(out, settings.LogLevel(s), "slot", s.GetName(), "centre", s.GetCentre())
+	captureLibraryLog(out, log)
 	d, err := daemon.New(s, id, log)
 	if err != nil {
 		return fmt.Errorf("run: %w", err)
 	}
+	d.SetLogOutput(out)
 	servers, err := serve(s, d, func(value any, stack []byte) {
 		log.Error("panic", "value", fmt.Sprint(value), "stack", string(stack))
 	})
@@ -68,7 +63,8 @@
 		return fmt.Errorf("run: %w", err)
 	}
 	d.Start()
-	<-ctx.Done()
+	go logHangups(received.reload, log)
+	received.awaitStop()
 	return shutdown(s, d, servers)
 }
 
@@ -84,13 +80,11 @@
 	}
 }
 
-func newLogger(s *schema.Settings) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       "lycheehead",
-		Level:      hclog.LevelFromString(settings.LogLevel(s)),
-		Output:     os.Stderr,
-		JSONFormat: true,
-	}).With("slot", s.GetName(), "centre", s.GetCentre())
+// logHangups logs each SIGHUP, which has no other effect.
+func logHangups(hangups <-chan os.Signal, log hclog.Logger) {
+	for range hangups {
+		log.Warn("hangup ignored", "reason", "settings are read only at the start")
+	}
 }
 
 // serve opens the listeners for callers, for the requests of the backend server and
--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/sidecar"
@@ -20,7 +19,7 @@
 
 // Run runs the daemon beside a backend server until the process receives SIGTERM or
 // SIGINT.
-func (c *sidecarCommand) Run() error {
+func (c *sidecarCommand) Run(received *signals) error {
 	s, firstStart, err := loadSettings()
 	if err != nil {
 		return withCode(exitInvalid, "sidecar: %w", err)
@@ -28,21 +27,22 @@
 	if c.Check {
 		return nil
 	}
-	received := notifySignals()
-	http1.DelaySignalShutdown(2 * s.GetBounds().GetGrace().AsDuration())
 	limitResources()
+	out := logs.NewWriter(os.Stdout)
+	captureLibraryLog(out, newLogger(out, "info", "daemon", s.GetName(), "centre", s.GetCentre()))
 	store := platform.NewStore(s.GetStore())
 	p := sidecar.NewPlatform(platform.Headers{}, store, platform.NewDecoder(), platform.OperatorPrefix, platform.InstancePrefix)
-	d, err := sidecar.New(s, p, logs.NewWriter(os.Stdout), firstStart)
+	d, err := sidecar.New(s, p, out, firstStart)
 	if err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	store.SetOnUnreadable(d.ItemSkipped)
 	if err := d.Start(); err != nil {
+		out.Close(outputTimeout)
 		return fmt.Errorf("sidecar: %w", err)
 	}
 	go watchSettings(d, s, received.reload)
-	<-received.stop
+	received.awaitStop()
 	if err := d.Stop(); err != nil {
 		return fmt.Errorf("sidecar: %w", err)
 	}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -281,7 +281,7 @@
 		}
 	}
 	for _, c := range s.openConns() {
-		s.countClosed(CloseCounts{cut: c.openRequests()})
+		s.countClosed(c.closeCounts())
 	}
 	s.cancel()
 	for _, c := range s.openConns() {
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -344,6 +344,17 @@
 	}
 }
 
+// closeCounts returns what would end without a response if the connection were closed now.
+func (c *serverConn) closeCounts() CloseCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := CloseCounts{cut: c.open}
+	if c.open == 0 && !c.lastAccepted && (c.reading || unread(c.raw)) {
+		n.unread = 1
+	}
+	return n
+}
+
 // openRequests returns the number of requests that have not been answered.
 func (c *serverConn) openRequests() int {
 	c.mu.Lock()
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -37,6 +37,13 @@
 	defaultMemory     = 128 << 20
 )
 
+// requestServer is a server that accepts requests for backend servers.
+type requestServer interface {
+	http1.Server
+	// CloseCounts returns what Shutdown has ended without a response.
+	CloseCounts() http1.CloseCounts
+}
+
 // Daemon is the sidecar process of one backend server. Use New to create one.
 type Daemon struct {
 	// settings are the settings at the start.
@@ -58,7 +65,7 @@
 	out             *logs.Writer
 	events          *events
 	// requestServers accept the requests of callers and of other daemons.
-	requestServers []*http1.PipelineServer
+	requestServers []requestServer
 	otherServers   []http1.Server
 	cancel         context.CancelFunc
 	// budget bounds the memory for bodies.
@@ -342,6 +349,8 @@
 	d.metrics.gauge("bodies_evicted", float64(d.budget.Evicted()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
+	d.metrics.gauge("log_output_failures", float64(d.out.Failures()))
+	d.metrics.gauge("log_output_failing_seconds", d.out.FailingFor(now).Seconds())
 	if cfg := d.state.config.Load(); cfg != nil {
 		d.metrics.customers.sweep(cfg)
 		d.metrics.gauge("version", float64(cfg.Version()))
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -32,6 +32,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// closeTimeout bounds Close, which does not wait for open requests.
 	closeTimeout = 50 * time.Millisecond
+	// logTimeout is how long after that the log may be written out, within exitBeforeEnd.
+	logTimeout = 100 * time.Millisecond
 )
 
 // shutdown is the state of a planned stop. Use newShutdown to create that of a daemon that is
@@ -125,7 +127,7 @@
 		unread, cut = unread+s.CloseCounts().Unread(), cut+s.CloseCounts().Cut()
 	}
 	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load(), "unread", unread, "cut", cut)
-	d.out.Close()
+	d.out.Close(time.Until(until.Add(logTimeout)))
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("close daemon: %w", err)
 	}
