Log unknown outcomes apart from refusals

They have a class of their own with a rate limit of 300 lines a second, whatever the message, and so have "response lost" and "backend server died", which lead to them.

--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -16,6 +16,7 @@
 	successLinesPerSecond     = 150
 	attemptLinesPerSecond     = 150
 	refusalLinesPerSecond     = 300
+	unknownLinesPerSecond     = 300
 	stateChangeLinesPerSecond = 300
 	libraryLinesPerSecond     = 20
 )
@@ -28,11 +29,13 @@
 const (
 	// Success: a decision on a request that succeeded.
 	Success Class = iota
-	// Attempt: an attempt that was refused or failed, and is followed by another attempt
-	// or by a refusal of the request.
+	// Attempt: an attempt that has not run, and is followed by another attempt or by a
+	// refusal of the request.
 	Attempt
-	// Refusal: a request that was refused, or answered with a failure.
+	// Refusal: a request that was refused and has not run.
 	Refusal
+	// Unknown: an attempt or a request whose outcome is unknown, or what led to that.
+	Unknown
 	// StateChange: a start or stop of the process, or a change in its state or in its view
 	// of other components.
 	StateChange
@@ -97,6 +100,7 @@
 		Success:     successLinesPerSecond,
 		Attempt:     attemptLinesPerSecond,
 		Refusal:     refusalLinesPerSecond,
+		Unknown:     unknownLinesPerSecond,
 		StateChange: stateChangeLinesPerSecond,
 		Library:     libraryLinesPerSecond,
 	} {
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -308,7 +308,7 @@
 		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonBadRequest, delivered: true}
 	}
 	a.queue.Done(now, entry, backend.Disconnected)
-	a.events.request(logs.Refusal, "response lost", req.id, "error", err.Error())
+	a.events.request(logs.Unknown, "response lost", req.id, "error", err.Error())
 	if !a.client.HasOpenConn() {
 		a.events.spawn(func() { a.checkCrash(req) })
 	}
--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -120,7 +120,7 @@
 	a.recordUnreachable(now, err)
 	key := requestKey(req)
 	a.quarantine.RecordCrash(now, key)
-	a.events.request(logs.Refusal, "backend server died", req.id, "customer", key.Customer(), "fingerprint", key.Fingerprint())
+	a.events.request(logs.Unknown, "backend server died", req.id, "customer", key.Customer(), "fingerprint", key.Fingerprint())
 	a.reportCrash(key)
 }
 
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -88,10 +88,13 @@
 }
 
 // classOf returns the class of the line that logs an outcome: Success if the request
-// ran, otherwise the given class.
+// ran, Unknown if that is unknown, otherwise the given class.
 func classOf(o caller.Outcome, otherwise logs.Class) logs.Class {
-	if o == caller.OutcomeRan {
+	switch o {
+	case caller.OutcomeRan:
 		return logs.Success
+	case caller.OutcomeUnknown:
+		return logs.Unknown
 	}
 	return otherwise
 }
