Let a daemon that crashes end without a reader

A daemon that crashed while nobody read its standard error did not end: the runtime waits for the pipe while it writes the stack trace, with all other threads stopped. The connections of callers stayed open without an answer, SIGTERM had no effect, and nothing started the daemon again.

With a reader the trace is written as before.

The daemons open the pipe of standard error again, in non-blocking mode, without effect on other processes that share it. The log of run keeps the descriptor that waits, since a reader that is only slow has to get all lines. A stack trace longer than the pipe's buffer may now lack parts where the reader is slow; the panic and its goroutine come first.

Ruled out: debug.SetCrashOutput, which writes in addition to standard error. Sockets cannot be opened again, so that a crash still waits for the reader of one.

--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -64,8 +64,9 @@
 	}
 	if runsDaemon(ctx) {
 		ignoreBrokenPipes()
-		if err := ctx.Run(received); err != nil {
-			failDaemon(err)
+		stderr := splitStandardError()
+		if err := ctx.Run(received, stderr); err != nil {
+			failDaemon(stderr, err)
 		}
 		return
 	}
--- a/cmd/lycheehead/output.go
+++ b/cmd/lycheehead/output.go
@@ -5,6 +5,7 @@
 	stdlog "log"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +16,33 @@
 // outputTimeout bounds the time for writing out the last lines at the end of a daemon.
 const outputTimeout = 100 * time.Millisecond
 
+// splitStandardError returns standard error with writes that wait for the reader of a pipe, for
+// the log. Other writes to it, such as the stack trace of a crash, do not wait any more, so that
+// the process ends. That is possible for pipes only.
+func splitStandardError() *os.File {
+	var stat syscall.Stat_t
+	if err := syscall.Fstat(syscall.Stderr, &stat); err != nil || stat.Mode&syscall.S_IFMT != syscall.S_IFIFO {
+		return os.Stderr
+	}
+	// O_NONBLOCK must not affect the other processes that share standard error, so the pipe is
+	// opened again.
+	nonblocking, err := syscall.Open("/proc/self/fd/2", syscall.O_WRONLY|syscall.O_NONBLOCK|syscall.O_CLOEXEC, 0)
+	if err != nil {
+		return os.Stderr
+	}
+	defer func() { _ = syscall.Close(nonblocking) }()
+	waiting, err := syscall.Dup(syscall.Stderr)
+	if err != nil {
+		return os.Stderr
+	}
+	f := os.NewFile(uintptr(waiting), os.Stderr.Name())
+	if err := syscall.Dup3(nonblocking, syscall.Stderr, 0); err != nil {
+		_ = f.Close()
+		return os.Stderr
+	}
+	return f
+}
+
 // newLogger returns a logger that adds fields to each line.
 func newLogger(out *logs.Writer, level string, fields ...any) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{
@@ -48,8 +76,8 @@
 }
 
 // failDaemon is like fail, but does not wait for a standard error that nobody reads.
-func failDaemon(err error) {
-	out := logs.NewWriter(os.Stderr)
+func failDaemon(stderr *os.File, err error) {
+	out := logs.NewWriter(stderr)
 	_, _ = fmt.Fprintln(out, "lycheehead:", err)
 	out.Close(outputTimeout)
 	os.Exit(exitCode(err))
--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -34,7 +34,7 @@
 }
 
 // Run runs the daemon until the process receives SIGTERM or SIGINT.
-func (c *runCommand) Run(received *signals) error {
+func (c *runCommand) Run(received *signals, stderr *os.File) error {
 	s, err := settings.Load(c.Config)
 	if err != nil {
 		return withCode(exitInvalid, "settings: %w", err)
@@ -47,7 +47,7 @@
 		return nil
 	}
 	limitResources()
-	out := logs.NewWriter(os.Stderr)
+	out := logs.NewWriter(stderr)
 	defer out.Close(outputTimeout)
 	log := newLogger(out, settings.LogLevel(s), "slot", s.GetName(), "centre", s.GetCentre())
 	captureLibraryLog(out, log)
