--- a/internal/soak/fake_test.go
+++ b/internal/soak/fake_test.go
@@ -1,3 +1,5 @@
+//go:build soak
+
 package soak
 
 import (
@@ -23,18 +25,6 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-// TestMain runs the test binary as a fake daemon if it is started under the name of a fault.
-func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && os.Args[1] == "sidecar" {
-		if err := runFake(filepath.Base(os.Args[0])); err != nil {
-			_, _ = fmt.Fprintln(os.Stderr, "fake:", err)
-			os.Exit(1)
-		}
-		return
-	}
-	os.Exit(m.Run())
-}
-
 // TestFakes plays soaks of daemons that have a fault, and prints which rules each of them
 // broke. Its input lists the faults.
 func TestFakes(t *testing.T) {
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -364,8 +364,12 @@
 	line("caller: head sent %s, all sent %s, ended %s, %s", seconds(r.begun), seconds(r.sent), seconds(r.ended), end)
 	concerned := r.concerned()
 	for _, i := range slices.Sorted(maps.Keys(h)) {
-		at, ok := h.lastStop(i, r.ended)
-		if ok && (slices.Contains(concerned, i) || r.ended < at+busy) {
+		if at, ok := h.lastStop(i, r.ended); ok && r.ended < at+busy && !slices.Contains(concerned, i) {
+			concerned = append(concerned, i)
+		}
+	}
+	for _, i := range concerned {
+		if at, ok := h.lastStop(i, r.ended); ok {
 			line("instance %d: SIGTERM %s, head sent %+.3f s and ended %+.3f s after it", i, seconds(at), (r.begun - at).Seconds(), (r.ended - at).Seconds())
 		}
 	}
--- a/internal/soak/seeds_test.go
+++ b/internal/soak/seeds_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -14,6 +16,18 @@
 	"github.com/cockroachdb/datadriven"
 )
 
+// TestMain runs the test binary as a fake daemon if it is started under the name of a fault.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "sidecar" {
+		if err := runFake(filepath.Base(os.Args[0])); err != nil {
+			_, _ = fmt.Fprintln(os.Stderr, "fake:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
 // TestShort plays short soaks of the program, calm enough for a busy machine.
 func TestShort(t *testing.T) { playSeeds(t, "testdata/short") }
 
