Tell a request that could not be written to the backend server from a lost one

Callers of the run daemon saw 502 unknown for a request with a body, such as one that may run once at most, of which no byte had been written to the backend server (LOST). Its quarantine counted that as a crash of the backend server, too. It happened after each refusal by the backend server now and then: Client.Do closes the connection of a refusal, and net/http may give the closed connection to the next request before it has noticed.

Cause: ErrNotSent was told by WroteHeaderField, which net/http calls as it puts a field into its buffer, before any write. net/http itself chooses another connection where nothing was written, but only for requests without a body or with one that it can rewind.

Evidence: testdata/once, where the server resets the connection between the building of the head and the write.

The connection counts the bytes that it has written, and a request is ErrNotSent if the counts of all connections that it was given are those from before it. net/http returns an error only after its writing goroutine has ended, so no byte can follow. A body in memory can be rewound, for methods that net/http doesn't send again after a write; so it goes to another connection of the same backend server. A body that arrives from another daemon is told to that as not run.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -27,7 +27,7 @@
 	idleTimeout = 30 * time.Second
 )
 
-// ErrNotSent means that no part of the request was sent to the backend server.
+// ErrNotSent means that no byte of the request was sent to the backend server.
 var ErrNotSent = eris.New("request was not sent")
 
 // Client sends requests to one backend server. Use New to create one. It is safe for
@@ -87,7 +87,8 @@
 }
 
 // NewRequest returns a request. target is the escaped path and query. length is the size
-// of the body in bytes, or -1 if unknown. The header is not copied and may be modified.
+// of the body in bytes, or -1 if unknown. A body that implements io.Seeker must be at its
+// start. The header is not copied and may be modified.
 func NewRequest(method, target string, header http.Header, body io.Reader, length int64) Request {
 	return Request{method: method, target: target, header: header, body: body, length: length}
 }
@@ -104,11 +105,9 @@
 // Redirects are not followed. ErrNotSent means that the request was not executed and will
 // not be; after any other error it may have been.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
-	var written atomic.Bool
-	var conn atomic.Pointer[httptrace.GotConnInfo]
+	var use connUse
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:          func(i httptrace.GotConnInfo) { conn.Store(&i) },
-		WroteHeaderField: func(string, []string) { written.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) { use.begin(i.Conn) },
 	})
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.address+r.target, nil)
 	if err != nil {
@@ -117,33 +116,56 @@
 	req.Header = r.header
 	switch {
 	case r.length != 0 && r.body != nil:
-		// A body that cannot be rewound also prevents net/http from sending the
-		// request again.
 		req.Body = io.NopCloser(r.body)
 		req.ContentLength = r.length
+		allowRewind(req, r.body)
 	case r.atMostOnce:
 		preventReplay(req)
 	}
 	preventRetry(req)
 	resp, err := c.service.DoRequest(req)
 	if err == nil {
-		if i := conn.Load(); i != nil && c.refuses(resp.Header) {
-			_ = i.Conn.Close()
+		if c.refuses(resp.Header) {
+			use.closeConn()
 		}
 		return resp, nil
 	}
-	if !written.Load() {
+	if !use.wrote() {
 		return nil, fmt.Errorf("send request to backend server: %w: %w", ErrNotSent, err)
 	}
 	return nil, fmt.Errorf("send request to backend server: %w", err)
 }
 
+// allowRewind lets net/http choose another connection if it has written nothing to the first,
+// unless it would also send the request again after that: it does so with methods that are
+// idempotent in HTTP if it can rewind the body.
+func allowRewind(req *http.Request, body io.Reader) {
+	seeker, ok := body.(io.Seeker)
+	if !ok || replayed(req.Method) {
+		return
+	}
+	req.GetBody = func() (io.ReadCloser, error) {
+		if _, err := seeker.Seek(0, io.SeekStart); err != nil {
+			return nil, fmt.Errorf("rewind body: %w", err)
+		}
+		return io.NopCloser(body), nil
+	}
+}
+
+// replayed reports whether net/http may send a request with a method again.
+func replayed(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // preventReplay gives a request without a body an empty one of unknown length if its method
 // is one for which net/http may send the request again. The encoding "identity" keeps the
 // body off the connection.
 func preventReplay(req *http.Request) {
-	switch req.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+	if replayed(req.Method) {
 		req.Body = io.NopCloser(strings.NewReader(""))
 		req.TransferEncoding = []string{"identity"}
 	}
@@ -171,6 +193,37 @@
 	return string(b)
 }
 
+// connUse records on which connections a request was written. Its methods are called by the
+// goroutine that sends the request, which waits for that of net/http that writes it.
+type connUse struct {
+	conn *trackedConn
+	// before is the number of bytes that conn had carried before the request.
+	before int64
+	// wroteEarlier is set if the request was written on another connection before.
+	wroteEarlier bool
+}
+
+// begin records that the request was given a connection.
+func (u *connUse) begin(c net.Conn) {
+	u.wroteEarlier = u.wrote()
+	u.conn, _ = c.(*trackedConn)
+	if u.conn != nil {
+		u.before = u.conn.written.Load()
+	}
+}
+
+// wrote reports whether any byte of the request was written.
+func (u *connUse) wrote() bool {
+	return u.wroteEarlier || u.conn != nil && u.conn.written.Load() > u.before
+}
+
+// closeConn closes the connection that the request was given last.
+func (u *connUse) closeConn() {
+	if u.conn != nil {
+		_ = u.conn.Close()
+	}
+}
+
 // connTracker counts the open connections to the backend server.
 type connTracker struct {
 	open      atomic.Int64
@@ -196,6 +249,8 @@
 	net.Conn
 	tracker *connTracker
 	closed  atomic.Bool
+	// written counts the bytes written.
+	written atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -207,6 +262,13 @@
 	return n, err //nolint:wrapcheck // net/http compares errors
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err //nolint:wrapcheck // net/http compares errors
+}
+
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.markClosed(false)
--- a/internal/backendhttp/client_test.go
+++ b/internal/backendhttp/client_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,6 +39,8 @@
 	cut atomic.Int64
 	// runs counts the requests.
 	runs atomic.Int64
+	// last is the connection that was accepted last.
+	last atomic.Pointer[net.TCPConn]
 }
 
 func newServer(t *testing.T) *server {
@@ -52,6 +56,7 @@
 			if err != nil {
 				return
 			}
+			s.last.Store(c.(*net.TCPConn))
 			go s.serve(c)
 		}
 	}()
@@ -92,14 +97,23 @@
 	return backendhttp.New(s.listener.Addr().String(), 4, func(h http.Header) bool { return h.Get("Backend-Shed") != "" }, func() {})
 }
 
+// resetLast resets the connection that was accepted last.
+func (s *server) resetLast() {
+	c := s.last.Load()
+	_ = c.SetLinger(0)
+	_ = c.Close()
+	// Wait for the reset to arrive.
+	time.Sleep(30 * time.Millisecond)
+}
+
 // post sends a request and formats the response.
 func post(c *backendhttp.Client) string {
-	return send(c, backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, strings.NewReader("hello"), 5))
+	return send(context.Background(), c, backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, strings.NewReader("hello"), 5))
 }
 
 // send sends a request and formats the response.
-func send(c *backendhttp.Client, r backendhttp.Request) string {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+func send(ctx context.Context, c *backendhttp.Client, r backendhttp.Request) string {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	resp, err := c.Do(ctx, r)
 	if errors.Is(err, backendhttp.ErrNotSent) {
@@ -134,7 +148,8 @@
 
 // TestOnce sends requests on a connection that the server ends. Each line of the input is a
 // request, with what the server does with its first and its second copy. A request with the
-// prefix "once-" must not be executed more than once (TWICE).
+// prefix "once-" must not be executed more than once (TWICE). With the prefix "late-", the
+// server resets the connection before the head of the request is written to it (LOST).
 func TestOnce(t *testing.T) {
 	datadriven.RunTest(t, "testdata/once", func(t *testing.T, d *datadriven.TestData) string {
 		s := newServer(t)
@@ -145,8 +160,13 @@
 			for words := range strings.SplitSeq(script, ", ") {
 				s.script <- words
 			}
+			ctx := context.Background()
+			verb, late := strings.CutPrefix(verb, "late-")
+			if late {
+				ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: sync.OnceFunc(s.resetLast)})
+			}
 			s.runs.Store(0)
-			result := send(c, newRequest(verb))
+			result := send(ctx, c, newRequest(verb))
 			fmt.Fprintf(&out, "%s: %s, executed %d times\n", line, result, s.runs.Load())
 			for len(s.script) > 0 {
 				<-s.script
