Let peers close their connections to a daemon that stops

In a planned stop of a run daemon, callers of other daemons saw 502 unknown for requests that nothing had run, and answers of requests that had run broke off (LOST).

Cause: once its backend server was idle, the daemon closed its QUIC connections. A request on its way then met a closed connection. Its sender can't know whether it was read, so one that may run once at most was given up as unknown. And a daemon counts a response as done when it has given the bytes to QUIC. What the other daemon had not read by then, such as up to 64 KiB for a slow caller, was lost with the connection: quic-go drops received bytes that are not read when a connection ends.

Now a daemon that stops first announces it on each connection, by a unidirectional stream, as GOAWAY does in HTTP. The dialing daemon opens no more streams, which it knows to be not sent, and closes the connection after its last stream. The stopping daemon answers what was on its way, with a refusal that is true, and waits for that until the end of its shutdown timeout. Its own callers are served and closed meanwhile. Peers learn of the stop at once instead of by gossip; a probe of a call doesn't take the announcement for a dead daemon.

With that, streams are counted from when their connection is chosen, not from when they are open, and by connection: CloseIdle could close a connection that a request had just been given, and that request was unknown, too (read, not tried).

A daemon without this change ignores the announcement, and a daemon that stops waits for it until the end of the shutdown timeout, 10 s by default, or its idle timeout.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,9 @@
 	dispatcher *dispatcher
 	ingress    *ingress
 	cancel     context.CancelFunc
+	// peersClosed is closed once the other daemons have closed their connections after
+	// Drain. It is nil before.
+	peersClosed <-chan struct{}
 	// applyMu, of rank lock.Config, makes the components apply versions in the order in
 	// which the store put them in force.
 	applyMu *lock.Mutex
@@ -196,7 +199,8 @@
 // Drain starts a planned stop: new work is refused as not run, one peer is notified
 // by gossip, and the requests that the backend server was given continue, with the calls
 // that they make. It returns when none of them is running, or with an error that wraps
-// ErrCallsRunning when ctx ends.
+// ErrCallsRunning when ctx ends. Then the other daemons are asked to close their connections
+// once they have read the responses, for which Close waits until ctx ends.
 func (d *Daemon) Drain(ctx context.Context) error {
 	d.core.stopping.Store(true)
 	d.core.members.Leave()
@@ -214,11 +218,20 @@
 			return fmt.Errorf("drain: %w: %w", ErrCallsRunning, context.Cause(ctx))
 		}
 	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		d.core.mesh.Shutdown(ctx)
+	}()
+	d.peersClosed = closed
 	return nil
 }
 
 // Close stops the daemon. Calls that are still running are lost.
 func (d *Daemon) Close() error {
+	if d.peersClosed != nil {
+		<-d.peersClosed
+	}
 	d.cancel()
 	err := d.core.mesh.Close()
 	d.core.tasks.wait()
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -263,7 +263,8 @@
 		return
 	}
 	request := schema.Request_builder{Gossip: &schema.Gossip{}}.Build()
-	if _, err := e.callPeer(ctx, e.name, probeTimeout, request); err != nil && ctx.Err() == nil {
+	_, err := e.callPeer(ctx, e.name, probeTimeout, request)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, peerquic.ErrStopping) {
 		e.log.Warn("daemon not responding to probe, closing connection", "slot", e.name)
 		e.mesh.Disconnect(e.name)
 	}
--- a/internal/peerquic/client.go
+++ b/internal/peerquic/client.go
@@ -41,42 +41,35 @@
 // that nothing was sent. The caller must call the returned function when it has
 // finished with the stream. The function does not close the stream.
 func (m *Mesh) OpenStream(ctx context.Context, name, address string, r *schema.Request) (*Stream, func(), error) {
-	conn, err := m.connect(ctx, name, address)
+	c, err := m.connect(ctx, name, address)
 	if err != nil {
 		return nil, nil, err
 	}
-	stream, err := conn.OpenStreamSync(ctx)
+	stream, err := c.conn.OpenStreamSync(ctx)
 	if err != nil {
-		m.remove(name, conn)
+		m.remove(name, c)
+		m.release(name, c)
 		return nil, nil, fmt.Errorf("open stream: %w: %w", ErrUnreachable, err)
 	}
-	m.addStreams(name, 1)
 	s := newStream(stream, &m.counters)
 	s.isCall = r.HasCall()
 	n, err := writeMessage(s.writer, r)
 	m.counters.add(s.isCall, 0, n)
 	if err != nil {
-		m.addStreams(name, -1)
 		s.Abort()
+		m.release(name, c)
 		return nil, nil, fmt.Errorf("send request: %w", err)
 	}
-	return s, func() { m.addStreams(name, -1) }, nil
+	return s, func() { m.release(name, c) }, nil
 }
 
-// connect returns the connection to a slot, dialing it if there is none. Concurrent
-// callers wait for the same attempt.
-func (m *Mesh) connect(ctx context.Context, name, address string) (*quic.Conn, error) {
-	var c *peerConn
-	dial := false
-	m.conns.Update(name, func(old *peerConn, ok bool) (*peerConn, bool) {
-		if ok && old.address == address && !old.closed() {
-			c = old
-			return old, true
-		}
-		c = &peerConn{address: address, dialed: make(chan struct{}), lastUsed: time.Now()}
-		dial = true
-		return c, true
-	})
+// connect returns the connection to a slot for one stream, dialing it if there is none.
+// Concurrent callers wait for the same attempt. The caller must release the connection.
+func (m *Mesh) connect(ctx context.Context, name, address string) (*peerConn, error) {
+	c, dial, err := m.acquire(name, address)
+	if err != nil {
+		return nil, err
+	}
 	if dial {
 		if !m.group.Go(func() { m.dial(name, c) }) {
 			// The mesh is closed, so the attempt fails at once.
@@ -86,12 +79,65 @@
 	select {
 	case <-c.dialed:
 	case <-ctx.Done():
+		m.release(name, c)
 		return nil, fmt.Errorf("connect: %w: %w", ErrUnreachable, context.Cause(ctx))
 	}
 	if c.err != nil {
+		m.release(name, c)
 		return nil, c.err
 	}
-	return c.conn, nil
+	return c, nil
+}
+
+// acquire counts a stream on the connection to a slot. If there is none, it adds one, which
+// the caller must dial. ErrStopping means that the daemon accepts no more streams.
+func (m *Mesh) acquire(name, address string) (c *peerConn, dial bool, err error) {
+	m.conns.Update(name, func(old *peerConn, ok bool) (*peerConn, bool) {
+		c = old
+		if !ok || old.address != address || old.closed() {
+			c = &peerConn{address: address, dialed: make(chan struct{})}
+			dial = true
+		}
+		if c.stopping {
+			err = fmt.Errorf("connect: %w: %w", ErrUnreachable, ErrStopping)
+			return c, true
+		}
+		c.openStreams++
+		c.lastUsed = time.Now()
+		return c, true
+	})
+	return c, dial, err
+}
+
+// release ends a stream that was counted by acquire. It closes the connection after the last
+// one if the peer is stopping.
+func (m *Mesh) release(name string, c *peerConn) {
+	last := false
+	// The lock for name guards c, even if c is no longer in conns.
+	m.conns.Update(name, func(current *peerConn, ok bool) (*peerConn, bool) {
+		c.openStreams--
+		c.lastUsed = time.Now()
+		last = c.stopping && c.openStreams == 0
+		return current, ok
+	})
+	if last {
+		_ = c.conn.CloseWithError(codeClosed, "unused")
+	}
+}
+
+// peerStopping records that a peer accepts no more streams. It closes the connection if none
+// is open.
+func (m *Mesh) peerStopping(name string, c *peerConn) {
+	unused := false
+	m.conns.Update(name, func(current *peerConn, ok bool) (*peerConn, bool) {
+		c.stopping = true
+		unused = c.openStreams == 0
+		return current, ok
+	})
+	m.onDisconnect(name)
+	if unused {
+		_ = c.conn.CloseWithError(codeClosed, "unused")
+	}
 }
 
 // closed reports whether dialing has failed or the connection has ended.
@@ -125,15 +171,20 @@
 		return
 	}
 	c.conn = conn
-	if !m.group.Go(func() { m.awaitClose(name, conn) }) {
+	if !m.group.Go(func() { m.awaitClose(name, c) }) {
 		_ = conn.CloseWithError(codeClosed, "stopping")
 	}
 }
 
 // awaitClose waits until a connection ends and calls onDisconnect, unless this
 // daemon closed it for a reason other than an unresponsive peer. It closes the
-// connection when the mesh is closed, even if it is no longer in conns.
-func (m *Mesh) awaitClose(name string, conn *quic.Conn) {
+// connection when the mesh is closed, even if it is no longer in conns. Until then it
+// waits for the peer to announce that it stops.
+func (m *Mesh) awaitClose(name string, c *peerConn) {
+	conn := c.conn
+	if _, err := conn.AcceptUniStream(m.ctx); err == nil {
+		m.peerStopping(name, c)
+	}
 	select {
 	case <-conn.Context().Done():
 	case <-m.ctx.Done():
@@ -148,22 +199,9 @@
 }
 
 // remove removes a connection that has ended from conns.
-func (m *Mesh) remove(name string, conn *quic.Conn) {
-	m.conns.Update(name, func(c *peerConn, ok bool) (*peerConn, bool) {
-		return c, ok && c.established() != conn
-	})
-}
-
-// addStreams adds delta to the number of open streams to a slot and records the use
-// of its connection.
-func (m *Mesh) addStreams(name string, delta int) {
-	m.conns.Update(name, func(c *peerConn, ok bool) (*peerConn, bool) {
-		if !ok {
-			return c, false
-		}
-		c.openStreams = max(0, c.openStreams+delta)
-		c.lastUsed = time.Now()
-		return c, true
+func (m *Mesh) remove(name string, c *peerConn) {
+	m.conns.Update(name, func(current *peerConn, ok bool) (*peerConn, bool) {
+		return current, ok && current != c
 	})
 }
 
--- a/internal/peerquic/doc.go
+++ b/internal/peerquic/doc.go
@@ -6,6 +6,10 @@
 // a call follows its message and extends to the end of the stream. As QUIC distinguishes
 // a reset stream from a finished one, a truncated body is never taken for a complete one.
 //
+// A daemon that stops first opens a unidirectional stream on each connection that it has
+// accepted. The other daemon then opens no more streams and closes the connection once it has
+// read the last response. So no request crosses the close of its connection.
+//
 // A slot is the permanent, named place of a daemon and its backend server. Both sides
 // authenticate as a slot with a certificate issued by the mesh's certificate authority.
 package peerquic
--- a/internal/peerquic/mesh.go
+++ b/internal/peerquic/mesh.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -64,6 +65,12 @@
 	counters     counters
 	onDisconnect func(name string)
 	group        *workers.Group
+	// accepting has the goroutine that accepts connections, and incoming one for each
+	// connection that was accepted.
+	accepting, incoming *workers.Group
+	// stopping is closed when Shutdown begins.
+	stopping     chan struct{}
+	stoppingOnce sync.Once
 	// ctx ends when the mesh is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -78,11 +85,13 @@
 	err         error
 	lastUsed    time.Time
 	openStreams int
+	// stopping is set once the peer has announced that it accepts no more streams.
+	stopping bool
 }
 
 // Listen opens the mesh on a UDP address. Incoming connections are accepted only after
 // Serve is called. onDisconnect is called, in a goroutine of the mesh, with the name of a
-// slot whose daemon closed the connection or stopped responding on it.
+// slot whose daemon announced its stop, closed the connection or stopped responding on it.
 func Listen(address string, id *Identity, onDisconnect func(name string)) (*Mesh, error) {
 	addr, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -99,6 +108,9 @@
 		onDisconnect: onDisconnect,
 		conns:        table.New[string, *peerConn](lock.Connections),
 		group:        workers.NewGroup(),
+		accepting:    workers.NewGroup(),
+		incoming:     workers.NewGroup(),
+		stopping:     make(chan struct{}),
 	}
 	m.config = &quic.Config{
 		HandshakeIdleTimeout:           dialTimeout,
@@ -136,6 +148,26 @@
 // dialed.
 func (m *Mesh) Connections() int { return m.conns.Len() }
 
+// Shutdown stops accepting connections, and asks the daemons that are connected to this one
+// to open no more streams and to close their connections once they have read the responses
+// to those that are open. It returns when they have done so or when ctx ends. Requests that
+// are on their way when it begins are still passed to the handler. Connections to other
+// daemons are not affected. Close must be called afterwards.
+func (m *Mesh) Shutdown(ctx context.Context) {
+	m.stoppingOnce.Do(func() { close(m.stopping) })
+	_ = m.listener.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		m.accepting.Close()
+		m.incoming.Close()
+	}()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	}
+}
+
 // Close closes all connections, notifying the peers, and waits for the goroutines
 // of the mesh to return, including those in Handler.ServePeer.
 func (m *Mesh) Close() error {
@@ -146,6 +178,8 @@
 			_ = conn.CloseWithError(codeClosed, "stopping")
 		}
 	})
+	m.accepting.Close()
+	m.incoming.Close()
 	m.group.Close()
 	if e := m.transport.Close(); err == nil {
 		err = e
--- a/internal/peerquic/serve.go
+++ b/internal/peerquic/serve.go
@@ -11,13 +11,13 @@
 // Serve starts to accept connections and to pass the requests of other daemons to h, and
 // returns at once. It continues until the mesh is closed.
 func (m *Mesh) Serve(h Handler) {
-	m.group.Go(func() {
+	m.accepting.Go(func() {
 		for {
 			conn, err := m.listener.Accept(m.ctx)
 			if err != nil {
 				return
 			}
-			if !m.group.Go(func() { m.serveConn(conn, h) }) {
+			if !m.incoming.Go(func() { m.serveConn(conn, h) }) {
 				_ = conn.CloseWithError(codeClosed, "stopping")
 			}
 		}
@@ -27,6 +27,7 @@
 func (m *Mesh) serveConn(conn *quic.Conn, h Handler) {
 	from := peerName(conn)
 	defer func() { _ = conn.CloseWithError(codeClosed, "stopping") }()
+	m.group.Go(func() { m.announceStop(conn) })
 	for {
 		s, err := conn.AcceptStream(m.ctx)
 		if err != nil {
@@ -36,6 +37,19 @@
 	}
 }
 
+// announceStop waits for Shutdown and then opens a unidirectional stream, which tells the peer
+// that this daemon stops. There are no other streams of that kind.
+func (m *Mesh) announceStop(conn *quic.Conn) {
+	select {
+	case <-m.stopping:
+	case <-conn.Context().Done():
+		return
+	}
+	if s, err := conn.OpenUniStream(); err == nil {
+		_ = s.Close()
+	}
+}
+
 func (m *Mesh) serveStream(from string, s *Stream, h Handler) {
 	r := &schema.Request{}
 	n, err := readMessage(s.reader, r)
