Tell a request on a refused connection as not run

A caller saw 502 unknown for a request that nothing had run, if its daemon was just connecting to one that stopped (LOST).

Cause: the dialing side of a QUIC handshake is done half a round trip before the other one, and sends its request at once. A listener that closes, or whose queue is full, refuses the connection as it gets that packet. dispatch took the end of the stream for a lost response, as after any other end.

quic-go sends CONNECTION_REFUSED only from its listener, for connections that it doesn't hand over, so no stream of theirs has been accepted and no handler has been called. An error with this code from the peer now wraps ErrUnreachable, and the request is told as not run and tried elsewhere. Other ends of a connection stay unknown.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -195,6 +195,9 @@
 		return e.failedReply(ctx, o, reason)
 	}
 	if err := e.sendInitial(w, body); err != nil {
+		if errors.Is(err, peerquic.ErrUnreachable) {
+			return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
+		}
 		return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
 	sent := !w.deferBody
@@ -202,7 +205,7 @@
 		a, err := e.stream.ReadAnswer()
 		if err != nil || !a.HasReply() {
 			// An egress does not run a request before it has the first byte of the body.
-			if !sent {
+			if !sent || errors.Is(err, peerquic.ErrUnreachable) {
 				return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
 			}
 			return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
--- a/internal/peerquic/client.go
+++ b/internal/peerquic/client.go
@@ -14,7 +14,7 @@
 
 // RoundTrip sends a request without a body to the daemon of a slot and returns its answer.
 // name is the name of the slot, and address the UDP address of its daemon. ErrUnreachable
-// means that nothing was sent; after any other error the peer may have handled the
+// means that the peer has read nothing; after any other error it may have handled the
 // request.
 func (m *Mesh) RoundTrip(ctx context.Context, name, address string, r *schema.Request) (*schema.Answer, error) {
 	s, done, err := m.OpenStream(ctx, name, address, r)
@@ -38,7 +38,7 @@
 
 // OpenStream opens a stream to the daemon of a slot and writes a request to it. The
 // request may stay buffered until Flush or CloseSend is called. ErrUnreachable means
-// that nothing was sent. The caller must call the returned function when it has
+// that the peer has read nothing. The caller must call the returned function when it has
 // finished with the stream. The function does not close the stream.
 func (m *Mesh) OpenStream(ctx context.Context, name, address string, r *schema.Request) (*Stream, func(), error) {
 	c, err := m.connect(ctx, name, address)
@@ -58,7 +58,7 @@
 	if err != nil {
 		s.Abort()
 		m.release(name, c)
-		return nil, nil, fmt.Errorf("send request: %w", err)
+		return nil, nil, fmt.Errorf("send request: %w", withRefusal(err))
 	}
 	return s, func() { m.release(name, c) }, nil
 }
--- a/internal/peerquic/errors.go
+++ b/internal/peerquic/errors.go
@@ -1,10 +1,16 @@
 package peerquic
 
-import "github.com/rotisserie/eris"
+import (
+	"errors"
+	"fmt"
+
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
 
 var (
-	// ErrUnreachable means that no connection could be established, so nothing
-	// was sent.
+	// ErrUnreachable means that no connection could be established, so the peer has
+	// read nothing.
 	ErrUnreachable = eris.New("daemon unreachable")
 	// ErrStopping means that the daemon has announced that it stops and accepts no more
 	// requests. An error that wraps it also wraps ErrUnreachable.
@@ -14,3 +20,13 @@
 	// ErrInvalidMessage means that a message is too large or empty.
 	ErrInvalidMessage = eris.New("invalid message")
 )
+
+// withRefusal adds ErrUnreachable to an error if the peer refused the connection, which it does
+// before it reads a stream. The connection may have been used before the refusal arrives.
+func withRefusal(err error) error {
+	var e *quic.TransportError
+	if errors.As(err, &e) && e.Remote && e.ErrorCode == quic.ConnectionRefused {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return err
+}
--- a/internal/peerquic/stream.go
+++ b/internal/peerquic/stream.go
@@ -51,13 +51,14 @@
 }
 
 // ReadAnswer reads the message of the next answer. A call may have two: one that asks for
-// its body, and the reply.
+// its body, and the reply. ErrUnreachable means that the peer has not read the request; the
+// same holds for the methods that write.
 func (s *Stream) ReadAnswer() (*schema.Answer, error) {
 	a := &schema.Answer{}
 	n, err := readMessage(s.reader, a)
 	s.counters.add(s.isCall, n, 0)
 	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
+		return nil, fmt.Errorf("read answer: %w", withRefusal(err))
 	}
 	return a, nil
 }
@@ -76,7 +77,7 @@
 func (s *Stream) Write(p []byte) (int, error) {
 	n, err := s.writer.Write(p)
 	if err != nil {
-		return n, fmt.Errorf("write body: %w", err)
+		return n, fmt.Errorf("write body: %w", withRefusal(err))
 	}
 	return n, nil
 }
@@ -84,7 +85,7 @@
 // Flush sends the buffered data.
 func (s *Stream) Flush() error {
 	if err := s.writer.Flush(); err != nil {
-		return fmt.Errorf("flush: %w", err)
+		return fmt.Errorf("flush: %w", withRefusal(err))
 	}
 	return nil
 }
