--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -195,6 +195,9 @@
 		return e.failedReply(ctx, o, reason)
 	}
 	if err := e.sendInitial(w, body); err != nil {
+		if errors.Is(err, peerquic.ErrUnreachable) {
+			return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
+		}
 		return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
 	sent := !w.deferBody
@@ -202,7 +205,7 @@
 		a, err := e.stream.ReadAnswer()
 		if err != nil || !a.HasReply() {
 			// An egress does not run a request before it has the first byte of the body.
-			if !sent {
+			if !sent || errors.Is(err, peerquic.ErrUnreachable) {
 				return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
 			}
 			return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
@@ -263,7 +266,8 @@
 		return
 	}
 	request := schema.Request_builder{Gossip: &schema.Gossip{}}.Build()
-	if _, err := e.callPeer(ctx, e.name, probeTimeout, request); err != nil && ctx.Err() == nil {
+	_, err := e.callPeer(ctx, e.name, probeTimeout, request)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, peerquic.ErrStopping) {
 		e.log.Warn("daemon not responding to probe, closing connection", "slot", e.name)
 		e.mesh.Disconnect(e.name)
 	}
