Don't take a lack of file descriptors for a failed server

What callers saw: while a daemon could open no more files, it refused requests (503, "backend") that its open connections could have carried, closed those connections, treated its backend server as cold for up to a minute afterwards, reported all other daemons as unreachable, and cancelled requests that were running at them. If a response was lost meanwhile, the request was reported to the whole fleet as one that crashes backend servers.

Cause: every error of opening a connection counted as evidence about the server at the other end: recordUnreachable, checkCrash, errorResult, pingDaemon and checkReachable did not look at why the connection could not be opened. EMFILE is a state of this process.

Ruled out: accepting connections.

Evidence: the new script before the change (+ after):

log backend server unreachable 1 lines + 0 lines log daemon unreachable 1 lines + 0 lines send /read/12 after a lost response 503 not-run: backend + p-12 200 from i1 log backend server died 1 lines + 0 lines

Why the fix works: localShortage recognizes the errors that a lack of descriptors, ports or memory on this machine gives. Such a request is refused as not run, which is true, with a log line of its own, and changes no state of the server or of other daemons. The slot of the queue is given back as for a cancelled request, so the window keeps its size.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -296,6 +296,10 @@
 	case errors.Is(err, http1.ErrNotSent) && ctx.Err() != nil:
 		a.queue.Done(now, entry, backend.Cancelled)
 		return notRun(contextReason(ctx))
+	case errors.Is(err, http1.ErrNotSent) && localShortage(err):
+		a.queue.Done(now, entry, backend.Cancelled)
+		a.events.request(logs.Refusal, "connecting to backend server failed", req.id, "error", err.Error())
+		return notRun(caller.ReasonNoBackend)
 	case errors.Is(err, http1.ErrNotSent):
 		a.queue.Done(now, entry, backend.Disconnected)
 		a.recordUnreachable(now, err)
--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -113,7 +113,7 @@
 // response was lost and no idle connection to the backend server is left open.
 func (a *admission) checkCrash(req *request) {
 	err := a.client.Connect(context.Background())
-	if err == nil {
+	if err == nil || localShortage(err) {
 		return
 	}
 	now := time.Now()
--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -44,7 +44,7 @@
 // checkReachable pings a daemon that may be unreachable, and marks it if it does not
 // answer. The other daemons are not notified.
 func (d *failureDetector) checkReachable(ip string) {
-	if d.ping(d.ctx, ip) != nil {
+	if err := d.ping(d.ctx, ip); err != nil && !localShortage(err) {
 		d.markUnreachable(ip)
 	}
 }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -178,6 +178,9 @@
 	}
 	resp, err := s.peers.client(ip).Do(ctx, httpReq)
 	if err != nil {
+		if localShortage(err) {
+			s.events.request(logs.Refusal, "connecting to daemon failed", req.id, "ip", ip, "error", err.Error())
+		}
 		return errorResult(ctx, err)
 	}
 	report := &schema.HopReport{}
@@ -203,7 +206,7 @@
 // request if two pings fail.
 func (s *sender) pingDaemon(ctx context.Context, ip string, cancel context.CancelCauseFunc) {
 	for range 2 {
-		if s.peers.ping(ctx, ip) == nil {
+		if err := s.peers.ping(ctx, ip); err == nil || localShortage(err) {
 			return
 		}
 	}
@@ -216,7 +219,7 @@
 // errorResult returns the result of a request for which the daemon of an instance
 // returned no response.
 func errorResult(ctx context.Context, err error) *result {
-	r := &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, daemonUnreachable: true}
+	r := &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, daemonUnreachable: !localShortage(err)}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDaemonUnresponsive) {
 		r.reason, r.daemonUnreachable = contextReason(ctx), false
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -107,6 +108,8 @@
 	// pending holds the responses to the requests sent in the background, by the name that
 	// the script gives them.
 	pending map[string]chan string
+	// files is the limit for open files before a script lowered it, or zero.
+	files uint64
 }
 
 // logBuffer holds the log of all daemons.
@@ -163,6 +166,9 @@
 }
 
 func (f *testFleet) shutdown(store *http.Server) {
+	if f.files > 0 {
+		f.limitFiles(false)
+	}
 	for _, b := range f.backends {
 		b.set("", nil)
 	}
@@ -293,6 +299,8 @@
 		f.stops.Wait()
 	case "wait":
 		time.Sleep(f.duration(args[1]))
+	case "files": // files none|all: whether the process may open files and connections
+		f.limitFiles(args[1] == "none")
 	case "grace": // grace 6s: the grace time of the daemons that are started from now on
 		f.grace = f.duration(args[1])
 	case "get", "post":
@@ -352,6 +360,24 @@
 	return ""
 }
 
+// limitFiles lowers the limit for open files below the descriptors in use, or restores it.
+func (f *testFleet) limitFiles(none bool) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		f.t.Fatal(err)
+	}
+	if f.files == 0 {
+		f.files = limit.Cur
+	}
+	limit.Cur = f.files
+	if none {
+		limit.Cur = 3
+	}
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *testFleet) duration(text string) time.Duration {
 	d, err := time.ParseDuration(text)
 	if err != nil {
