Announce the end of callers' connections while a run daemon stops

A caller that keeps its connection to a run daemon was not told of a planned stop: in the drain it got 503 not-run or its response and went on using the connection, until that was closed under a request of its own (LOST, where the request had been read).

Cause: only PipelineServer.Shutdown ends connections, which comes after the drain, and closes the idle ones without a word. The sidecar daemon already sends Connection: close from the start of its stop (internal/sidecar/ingress.go).

From the start of the stop each response says that it is the last one of its connection; requests behind it are not read. A connection without a request during the drain is still closed idle at its end. A request that crosses that close is a matter of the server.

--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -167,10 +167,19 @@
 	w.Header().Set(OutcomeHeader, o.String())
 	w.Header().Set(ReasonHeader, string(reason))
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.announceStop(w.Header())
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, o.String()+": "+string(reason)+"\n")
 }
 
+// announceStop makes a response the last one of its connection if the daemon is stopping.
+// Otherwise the next request of the caller might cross the end of the connection.
+func (h *Handler) announceStop(header http.Header) {
+	if h.daemon.Stopping() {
+		header.Set("Connection", "close")
+	}
+}
+
 // writeResponse forwards the response of a backend server. If its body is truncated,
 // the caller's connection is aborted, so that the caller does not take the response
 // for a complete one.
@@ -185,6 +194,7 @@
 	if resp.Length() >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(resp.Length(), 10))
 	}
+	h.announceStop(header)
 	w.WriteHeader(resp.Status())
 	if err := copyBody(w, resp.Body()); err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -193,6 +193,9 @@
 	return !d.core.stopping.Load() && d.feed.ready(time.Now())
 }
 
+// Stopping reports whether a planned stop has begun.
+func (d *Daemon) Stopping() bool { return d.core.stopping.Load() }
+
 // Metrics returns the HTTP handler that exposes the metrics.
 func (d *Daemon) Metrics() http.Handler { return d.core.metrics.handler }
 
--- a/internal/mesh/call_test.go
+++ b/internal/mesh/call_test.go
@@ -17,7 +17,8 @@
 )
 
 // call sends one request to a daemon. It prints the status, the outcome, and either the
-// reason or, if a backend server responded, the customer for whom the request ran. The
+// reason or, if a backend server responded, the customer for whom the request ran, and whether
+// the response ends the connection. The
 // argument once is the label of an idempotency key, next lists the paths of nested requests,
 // body is the size of the body in bytes, and work is the service time. With the argument
 // crash, the request crashes the backend server.
@@ -95,6 +96,9 @@
 		_, reason, _ = strings.Cut(strings.TrimSpace(string(text)), " for ")
 		reason = "for " + reason
 	}
+	if resp.Close {
+		reason += ", closes"
+	}
 	return fmt.Sprintf("%d %s %s\n", resp.StatusCode, resp.Header.Get(callerhttp.OutcomeHeader), reason)
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -70,6 +70,8 @@
 		return r.beginCall(t, d)
 	case "await":
 		return <-r.pending[d.CmdArgs[0].Key]
+	case "leave":
+		return r.beginStop(d.CmdArgs[0].Key)
 	case "kill", "start", "stop", "crash":
 		return r.controlSlots(t, d)
 	case "platform":
@@ -254,6 +256,20 @@
 	return "ok\n"
 }
 
+// beginStop stops the daemon of a slot in the background. The command await waits for its end.
+func (r *scriptRunner) beginStop(name string) string {
+	result := make(chan string, 1)
+	r.pending[name] = result
+	go func() {
+		if err := r.mesh.Slot(name).Stop(); err != nil {
+			result <- err.Error() + "\n"
+			return
+		}
+		result <- "ok\n"
+	}()
+	return "ok\n"
+}
+
 // versions prints the versions that the running daemons serve.
 func (r *scriptRunner) versions() string {
 	var versions []string
