--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -158,6 +158,9 @@
 	"hostless": "GET %s HTTP/1.1\r\n\r\n",
 	"spaced":   "GET %s HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n",
 	"two":      "GET %s HTTP/2.0\r\nHost: h\r\n\r\n",
+	"fields":   "GET %s HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A: b\r\n", 2500) + "\r\n",
+	"ordinary": "GET %s HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A: "+strings.Repeat("b", 40)+"\r\n", 340) + "\r\n",
+	"lines":    "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("\n", 300_000),
 	"endless":  "GET %s HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 100_000) + "\r\n\r\n",
 }
 
