Tell refused connections from resets behind the soak's proxy

A proxy accepts a connection before it knows whether the daemon does, so that a daemon that has stopped listening seems to break a connection after a request was sent.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -153,7 +153,8 @@
 				continue
 			}
 			for _, ports := range [][2]int{{from.inbound, to.inbound}, {from.control, to.control}} {
-				k, err := newLink(to.address(ports[0]), from.ip, to.address(ports[1]))
+				refused := func() { f.journal.disrupt(to.index, kindRefused, true)() }
+				k, err := newLink(to.address(ports[0]), from.ip, to.address(ports[1]), refused)
 				if err != nil {
 					return err
 				}
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -105,6 +105,16 @@
 	return false
 }
 
+// refused reports whether a proxy could not connect to a daemon in an interval.
+func (h history) refused(from, to time.Duration) bool {
+	for _, list := range h {
+		if slices.ContainsFunc(list, func(d disruption) bool { return d.kind == kindRefused && d.from >= from && d.from <= to }) {
+			return true
+		}
+	}
+	return false
+}
+
 // lastStop returns the start of the last planned stop of an instance before a time.
 func (h history) lastStop(instance int, before time.Duration) (time.Duration, bool) {
 	var last time.Duration
@@ -117,11 +127,15 @@
 	return last, found
 }
 
-// Kinds of disruptions that the rules look for: a planned stop, and the end of a daemon that
-// nothing has ended, which is a breach of its own.
+// Kinds of disruptions that the rules look for.
 const (
-	kindStop   = "stop"
+	// kindStop is a planned stop.
+	kindStop = "stop"
+	// kindOwnEnd is the end of a daemon that nothing has ended, which is a breach of its own.
 	kindOwnEnd = "own end"
+	// kindRefused is a connection that a daemon did not accept behind a proxy. The other daemon
+	// sees a reset instead, after which it cannot know that the request has not been received.
+	kindRefused = "refused"
 )
 
 // noticed is how long after the end of a process its parent may see that.
@@ -330,10 +344,11 @@
 	r := j.snapshot(id)
 	j.mu.Lock()
 	found := judge(&r, j.history)
-	text := describe(&r, j.history)
+	for n := range found {
+		found[n].text += "\n" + describe(&r, j.history)
+	}
 	j.mu.Unlock()
 	for _, b := range found {
-		b.text += "\n" + text
 		j.report(b, b.rule+id)
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -23,6 +23,9 @@
 	// ways are the two directions, the first from source to target.
 	ways  [2]way
 	conns *table.Table[*net.TCPConn, struct{}]
+	// refused is called when the target does not accept a connection, which the source sees as
+	// a reset.
+	refused func()
 }
 
 // way is a direction of a link.
@@ -35,13 +38,13 @@
 // forwardSize is the size of the buffer of a direction.
 const forwardSize = 32 << 10
 
-func newLink(listen, source, target string) (*link, error) {
+func newLink(listen, source, target string, refused func()) (*link, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for link: %w", err)
 	}
 	k := &link{
-		listener: l, source: &net.TCPAddr{IP: net.ParseIP(source)}, target: target,
+		listener: l, source: &net.TCPAddr{IP: net.ParseIP(source)}, target: target, refused: refused,
 		conns: table.New[*net.TCPConn, struct{}](lock.Connections),
 	}
 	go k.accept()
@@ -61,6 +64,7 @@
 func (k *link) serve(from *net.TCPConn) {
 	c, err := (&net.Dialer{LocalAddr: k.source, Timeout: time.Second}).Dial("tcp", k.target)
 	if err != nil {
+		k.refused()
 		reset(from)
 		return
 	}
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -102,7 +102,7 @@
 	default:
 		return ""
 	}
-	if h.unplanned(r.begun-contact, r.ended) {
+	if h.unplanned(r.begun-contact, r.ended) || h.refused(r.begun, r.ended) {
 		return ""
 	}
 	return fmt.Sprintf("%d %s, but no backend server received it", r.outcome.status, r.outcome.detail)
