Bound the responses that wait for others on their connections

A daemon could be ended for its memory, and the requests of all its callers with it: responses that wait for earlier ones of their connection are held in memory, up to 64 KB each and 16 a connection, without a limit for all.

Cause: the memory of bodies has a budget, but a handler gives its part back when it returns, while the server still holds the response. Now a server holds 16 MiB of responses at most. Beyond that a handler waits for its turn, and its response keeps its part of the budget meanwhile.

The script in http1/pipeline: 200 callers with 15 responses of 60 KB behind one that waits, of which the server held more than 16 MiB before.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -17,8 +17,10 @@
 
 const (
 	// maxBufferedResponse is the number of bytes of a response body that are held until
-	// the responses before it have been sent.
+	// the responses before it have been sent. maxBufferedTotal limits them for all responses
+	// of a server: beyond it, handlers wait for their turn.
 	maxBufferedResponse = 64 << 10
+	maxBufferedTotal    = 16 << 20
 	// responseWriteTimeout is how long a client may take to receive a part of a
 	// response.
 	responseWriteTimeout = 30 * time.Second
@@ -119,7 +121,7 @@
 	if e.request.Method == http.MethodHead {
 		return len(p), nil
 	}
-	if !e.headSent && len(e.pending)+len(p) <= maxBufferedResponse {
+	if !e.headSent && len(e.pending)+len(p) <= maxBufferedResponse && e.conn.server.reserve(len(p)) {
 		e.pending = append(e.pending, p...)
 		return len(p), nil
 	}
@@ -197,8 +199,15 @@
 		out = append(out, e.encodeHead(false))
 	}
 	out = e.appendBody(e.appendBody(out, e.pending), p)
+	err := e.write(out)
+	e.dropPending()
+	return err
+}
+
+// dropPending gives the memory of the pending bytes back.
+func (e *exchange) dropPending() {
+	e.conn.server.buffered.Add(-int64(len(e.pending)))
 	e.pending = nil
-	return e.write(out)
 }
 
 func (e *exchange) appendBody(out net.Buffers, p []byte) net.Buffers {
@@ -293,6 +302,7 @@
 		}
 		e.err = e.complete()
 	}
+	e.dropPending()
 	if e.err != nil {
 		// The responses before this one are not affected.
 		_ = e.awaitTurn()
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -72,6 +72,8 @@
 	closeAt atomic.Pointer[time.Time]
 	// goAway is the response that tells the client of an idle connection that it is closed.
 	goAway atomic.Pointer[[]byte]
+	// buffered is the number of bytes of responses that are held.
+	buffered atomic.Int64
 	// accepting is closed once no further connections are accepted.
 	accepting chan struct{}
 	// closeErr is the error of closing the listener, set before accepting is closed.
@@ -229,6 +231,15 @@
 	return list
 }
 
+// reserve reports whether further bytes of a response may be held.
+func (s *PipelineServer) reserve(n int) bool {
+	if s.buffered.Add(int64(n)) <= maxBufferedTotal {
+		return true
+	}
+	s.buffered.Add(-int64(n))
+	return false
+}
+
 func (s *PipelineServer) countClosed(n CloseCounts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -126,6 +126,9 @@
 		return
 	case "large":
 		_, _ = io.WriteString(w, strings.Repeat("x", 1<<20))
+	case "page":
+		_, _ = io.WriteString(w, strings.Repeat("x", pageBytes))
+		h.record("writes %s", r.URL.Path)
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -284,6 +287,12 @@
 		return fmt.Sprintf("  %d events\n", len(s.handler.drain()))
 	case "read":
 		return s.read(http.MethodGet)
+	case "unsent": // unsent n: n clients send 15 requests each whose responses have to wait
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		return s.unsent(n)
 	case "promptly": // promptly: reads a response that must not wait for anything
 		begin := time.Now()
 		text := s.read(http.MethodGet)
@@ -334,6 +343,43 @@
 	return ""
 }
 
+// pageBytes is the size of a response that fits into the buffer of its request, and
+// heldBytes what a server holds of all responses at most.
+const (
+	pageBytes = 60 << 10
+	heldBytes = 16 << 20
+)
+
+// unsent sends requests whose responses have to wait for a first one, and reports whether the
+// server holds all of them.
+func (s *pipelineScript) unsent(clients int) string {
+	for i := range clients {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, fmt.Sprintf(requestTexts["get"], "/wait/first"))
+		for k := range 15 {
+			_, _ = io.WriteString(c, fmt.Sprintf(requestTexts["get"], fmt.Sprintf("/page/%d/%d", i, k)))
+		}
+	}
+	time.Sleep(time.Second)
+	written := 0
+	for _, event := range s.handler.drain() {
+		if strings.HasPrefix(event, "writes ") {
+			written++
+		}
+	}
+	switch {
+	case written == 0:
+		return "  holds no responses\n"
+	case written*pageBytes > heldBytes:
+		return "  holds too many responses\n"
+	}
+	return "  lets handlers wait\n"
+}
+
 // promptTime is the time within which a response is sent that waits for nothing.
 const promptTime = 100 * time.Millisecond
 
