Don't tell a request as not run after an answer was lost

A caller saw 503 not-run for a request that a backend server had run (REFUSED in its sense for requests that may run again). Found while reading what a sender may conclude from a refusal in a stop.

Cause: dispatch tries an idempotent request again after its answer was lost, and returned the result of the last try alone. If the next backend servers refuse it, because they stop, shed or are down, that is not run, although the first try may have run it.

Evidence: testdata/lost, where the near backend server ends while it runs the request and the far one is down.

Requests that may run once at most are not affected: they are not tried again after a lost answer.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -64,6 +64,7 @@
 	retries := w.context.Retries()
 	var tried []string
 	last := refusedResponse(caller.ReasonNoBackend)
+	lost := false
 	for {
 		now := time.Now()
 		c, err := workers.Do(ctx, d.pool, func() pickResult {
@@ -85,6 +86,14 @@
 		r := d.try(ctx, name, w, body)
 		d.recordResult(name, r)
 		last = newResponse(name, r)
+		lost = lost || r.outcome == caller.OutcomeUnknown
+		if lost && r.outcome == caller.OutcomeNotRun {
+			// An earlier try may have run the request.
+			last.outcome = caller.OutcomeUnknown
+			if ctx.Err() == nil {
+				last.reason = caller.ReasonResponseLost
+			}
+		}
 		if !d.mayRetry(w, body, r) || retries == 0 || !d.budget.AllowRetry(w.service) {
 			return last
 		}
