Tell an upload whose body was not begun as not run

A caller that had sent only the head of an upload over 64 KiB got 502 unknown if the daemon that had asked for the body ended, as at the end of a stop that the upload held up (LOST). Nothing can have run it: an egress waits for the first byte of a body that was held back.

Cause: exchange.run counted the body as sent from the moment at which it was asked for, also while its caller sends none.

The sender notes that it begins to write the body, before the first byte goes to the stream, and looks at that note after it has aborted the stream: if it isn't set then, no byte can follow. A body of which any byte was written leaves the outcome unknown.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/peerquic"
@@ -190,6 +191,8 @@
 	name    string
 	stream  *peerquic.Stream
 	release func()
+	// sending is set before the first byte of a deferred body is written.
+	sending atomic.Bool
 }
 
 // run sends the body and reads the reply.
@@ -197,30 +200,26 @@
 	stop := context.AfterFunc(ctx, e.stream.Abort)
 	probe := time.AfterFunc(probeDelay, func() { e.probe(ctx) })
 	defer probe.Stop()
-	fail := func(o caller.Outcome, reason caller.Reason) *reply {
+	fail := func(err error) *reply {
 		stop()
 		e.stream.Abort()
 		e.release()
-		return e.failedReply(ctx, o, reason)
+		// An egress does not run a request before it has the first byte of a deferred body.
+		// None is sent once the stream has been aborted.
+		if errors.Is(err, peerquic.ErrUnreachable) || w.deferBody && !e.sending.Load() {
+			return e.failedReply(ctx, caller.OutcomeNotRun, caller.ReasonNoBackend)
+		}
+		return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
 	if err := e.sendInitial(w, body); err != nil {
-		if errors.Is(err, peerquic.ErrUnreachable) {
-			return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
-		}
-		return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
+		return fail(err)
 	}
-	sent := !w.deferBody
 	for {
 		a, err := e.stream.ReadAnswer()
 		if err != nil || !a.HasReply() {
-			// An egress does not run a request before it has the first byte of the body.
-			if !sent || errors.Is(err, peerquic.ErrUnreachable) {
-				return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
-			}
-			return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
+			return fail(err)
 		}
 		if a.GetReply().GetAdmitted() {
-			sent = true
 			// From here on the body cannot be sent again.
 			r := body.reader()
 			e.tasks.start(func() { e.sendOrAbort(r) })
@@ -240,12 +239,23 @@
 }
 
 func (e *exchange) send(body io.Reader) error {
-	if _, err := io.Copy(e.stream, body); err != nil {
+	if _, err := io.Copy(bodyWriter{e}, body); err != nil {
 		return err
 	}
 	return e.stream.CloseSend()
 }
 
+// bodyWriter writes the body of an exchange.
+type bodyWriter struct {
+	*exchange
+}
+
+// Write implements io.Writer.
+func (w bodyWriter) Write(p []byte) (int, error) {
+	w.sending.Store(true)
+	return w.stream.Write(p)
+}
+
 // sendOrAbort sends a deferred body. If the caller's body is truncated, it aborts the
 // stream, so that the receiver does not treat the body as complete.
 func (e *exchange) sendOrAbort(body io.Reader) {
