--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/peerquic"
@@ -64,6 +65,7 @@
 	retries := w.context.Retries()
 	var tried []string
 	last := refusedResponse(caller.ReasonNoBackend)
+	lost := false
 	for {
 		now := time.Now()
 		c, err := workers.Do(ctx, d.pool, func() pickResult {
@@ -85,6 +87,14 @@
 		r := d.try(ctx, name, w, body)
 		d.recordResult(name, r)
 		last = newResponse(name, r)
+		lost = lost || r.outcome == caller.OutcomeUnknown
+		if lost && r.outcome == caller.OutcomeNotRun {
+			// An earlier try may have run the request.
+			last.outcome = caller.OutcomeUnknown
+			if ctx.Err() == nil {
+				last.reason = caller.ReasonResponseLost
+			}
+		}
 		if !d.mayRetry(w, body, r) || retries == 0 || !d.budget.AllowRetry(w.service) {
 			return last
 		}
@@ -181,6 +191,8 @@
 	name    string
 	stream  *peerquic.Stream
 	release func()
+	// sending is set before the first byte of a deferred body is written.
+	sending atomic.Bool
 }
 
 // run sends the body and reads the reply.
@@ -188,31 +200,29 @@
 	stop := context.AfterFunc(ctx, e.stream.Abort)
 	probe := time.AfterFunc(probeDelay, func() { e.probe(ctx) })
 	defer probe.Stop()
-	fail := func(o caller.Outcome, reason caller.Reason) *reply {
+	fail := func(err error) *reply {
 		stop()
 		e.stream.Abort()
 		e.release()
-		return e.failedReply(ctx, o, reason)
+		// An egress does not run a request before it has the first byte of a deferred body.
+		// None is sent once the stream has been aborted.
+		if errors.Is(err, peerquic.ErrUnreachable) || w.deferBody && !e.sending.Load() {
+			return e.failedReply(ctx, caller.OutcomeNotRun, caller.ReasonNoBackend)
+		}
+		return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
 	if err := e.sendInitial(w, body); err != nil {
-		if errors.Is(err, peerquic.ErrUnreachable) {
-			return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
-		}
-		return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
+		return fail(err)
 	}
-	sent := !w.deferBody
 	for {
 		a, err := e.stream.ReadAnswer()
 		if err != nil || !a.HasReply() {
-			// An egress does not run a request before it has the first byte of the body.
-			if !sent || errors.Is(err, peerquic.ErrUnreachable) {
-				return fail(caller.OutcomeNotRun, caller.ReasonNoBackend)
-			}
-			return fail(caller.OutcomeUnknown, caller.ReasonResponseLost)
+			return fail(err)
 		}
 		if a.GetReply().GetAdmitted() {
-			sent = true
-			e.tasks.start(func() { e.sendOrAbort(body) })
+			// From here on the body cannot be sent again.
+			r := body.reader()
+			e.tasks.start(func() { e.sendOrAbort(r) })
 			continue
 		}
 		e.members.RecordSuccess(e.name)
@@ -225,19 +235,30 @@
 	if w.deferBody {
 		return e.stream.Flush()
 	}
-	return e.send(body)
+	return e.send(body.reader())
 }
 
-func (e *exchange) send(body *payload) error {
-	if _, err := io.Copy(e.stream, body.reader()); err != nil {
+func (e *exchange) send(body io.Reader) error {
+	if _, err := io.Copy(bodyWriter{e}, body); err != nil {
 		return err
 	}
 	return e.stream.CloseSend()
 }
 
+// bodyWriter writes the body of an exchange.
+type bodyWriter struct {
+	*exchange
+}
+
+// Write implements io.Writer.
+func (w bodyWriter) Write(p []byte) (int, error) {
+	w.sending.Store(true)
+	return w.stream.Write(p)
+}
+
 // sendOrAbort sends a deferred body. If the caller's body is truncated, it aborts the
 // stream, so that the receiver does not treat the body as complete.
-func (e *exchange) sendOrAbort(body *payload) {
+func (e *exchange) sendOrAbort(body io.Reader) {
 	if err := e.send(body); err != nil {
 		e.stream.Abort()
 	}
