--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -138,8 +138,9 @@
 	kindRefused = "refused"
 )
 
-// noticed is how long after the end of a process its parent may see that.
-const noticed = 250 * time.Millisecond
+// noticed is how long after the end of a process its parent may see that on a busy machine.
+// Requests are checked later.
+const noticed = checkDelay
 
 // journal holds the requests, the disruptions and the breaches of a soak.
 type journal struct {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -49,7 +50,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("create folder: %w", err)
 	}
-	broken, err = playIn(o, dir, out)
+	report, err := os.Create(filepath.Join(dir, "report"))
+	if err != nil {
+		return nil, fmt.Errorf("create report: %w", err)
+	}
+	broken, err = playIn(o, dir, io.MultiWriter(out, report))
+	err = errors.Join(err, report.Close())
 	if err != nil || len(broken) > 0 {
 		_, _ = fmt.Fprintf(out, "logs are kept in %s; history of a request: cat %s/*.log | lycheehead explain ID\n", dir, dir)
 		return broken, err
