--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,13 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
-# Runs the formatter, the linters, vet, and all tests with the race detector and the
-# lock order checks.
+# Runs the formatter, the linters, vet, all tests with the race detector and the lock order
+# checks, and a short soak.
 test: lint
 	$(GO) test $(TEST_FLAGS) ./...
 	$(GO) test ./pkg/... ./internal/emulate
 	$(GO) test -run TestSpread ./internal/sidecar
+	$(MAKE) soak-short
 
 lint: $(BIN)/gofumpt $(BIN)/revive
 	@files=$$($(BIN)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
