Keep a connection with open requests when a deadline for a body comes late

As a planned stop ends, bodies that are still arriving get a deadline in the past from another goroutine. If a body was complete at that very moment, the deadline was left to the goroutine that waits for the next request, which then ended the connection under the request. Found by reading, not shown in a run: the window lies between two lines of exchange.SetReadDeadline. A deadline that passes while requests are open is removed now.

--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -148,6 +148,9 @@
 	c.mu.Unlock()
 	c.head.beginHead(c.r.Buffered(), c.server.limits().maxHead())
 	_, err = c.r.Peek(1)
+	for errors.Is(err, os.ErrDeadlineExceeded) && c.clearDeadline() {
+		_, err = c.r.Peek(1)
+	}
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) && unread(c.raw) {
 		return c.beginRead(), nil
 	}
@@ -157,6 +160,18 @@
 	return false, fmt.Errorf("await request: %w", err)
 }
 
+// clearDeadline removes the read deadline if requests are open, and reports whether they are.
+// The deadline was meant for the body of one of them then, which has been read meanwhile.
+func (c *serverConn) clearDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == 0 {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(time.Time{})
+	return true
+}
+
 // idleDeadline returns the time until which a connection without open requests is kept. The
 // caller holds mu.
 func (c *serverConn) idleDeadline(now time.Time) time.Time {
