--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -13,6 +13,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
 )
 
 const (
@@ -70,7 +72,9 @@
 			exchange: e, src: newBodyReader(c.r, f), ended: make(chan struct{}),
 			idle: make(chan struct{}, 1), wanted: make(chan struct{}), unwatched: make(chan struct{}),
 		}
-		e.body.expectsContinue.Store(strings.EqualFold(req.Header.Get("Expect"), "100-continue"))
+		expects := strings.EqualFold(req.Header.Get("Expect"), "100-continue")
+		e.body.mu, e.body.readsConn = lock.New(lock.Connections), !expects
+		e.body.expectsContinue.Store(expects)
 		e.body.idle <- struct{}{}
 		req.Body = e.body
 	}
@@ -143,19 +147,10 @@
 // SetReadDeadline sets the time until which the body can be read, for
 // http.ResponseController.
 func (e *exchange) SetReadDeadline(until time.Time) error {
-	if e.body == nil || e.body.complete() {
-		// The connection is read for the next request.
-		return nil
-	}
-	e.body.deadline.Store(&until)
-	if e.body.expectsContinue.Load() {
-		// The deadline takes effect with the first read.
+	if e.body == nil {
 		return nil
 	}
-	if err := e.conn.raw.SetReadDeadline(until); err != nil {
-		return fmt.Errorf("set read deadline: %w", err)
-	}
-	return nil
+	return e.body.setDeadline(until)
 }
 
 // bodyAllowed reports whether a response with a status may have a body.
@@ -373,7 +368,7 @@
 	default:
 	}
 	// Another goroutine may still be reading the body, which ends at the deadline.
-	_ = e.conn.raw.SetReadDeadline(deadline)
+	_ = b.setDeadline(deadline)
 	if deadline.After(time.Now()) {
 		_, _ = io.CopyN(io.Discard, b, maxDiscardedBody)
 	}
--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -30,9 +30,8 @@
 	// the client has read the response. maxLinger limits the total time.
 	lingerTimeout = 500 * time.Millisecond
 	maxLinger     = 5 * time.Second
-	// backlogTimeout is how long connections that wait to be accepted are accepted once the
-	// server shuts down. lateRequestTimeout is the time that their first request has to arrive.
-	backlogTimeout     = 10 * time.Millisecond
+	// lateRequestTimeout is the time that the first request of a connection has to arrive if
+	// the connection is accepted as the server shuts down.
 	lateRequestTimeout = 100 * time.Millisecond
 	// closeMargin is the time for the last responses before the end of a shutdown.
 	closeMargin = 20 * time.Millisecond
@@ -177,7 +176,7 @@
 	for {
 		raw, err := s.listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// Connections that arrive from now on would be reset.
+			s.acceptWaiting()
 			s.closeErr = s.listener.Close()
 			return
 		}
@@ -200,6 +199,19 @@
 	}
 }
 
+// acceptWaiting accepts the connections that wait for that, which closing the listener would
+// reset.
+func (s *PipelineServer) acceptWaiting() {
+	for {
+		raw, err := acceptNow(s.listener)
+		if err != nil {
+			return
+		}
+		setUnackedTimeout(raw)
+		go s.add(raw).serve()
+	}
+}
+
 // add registers a new connection.
 func (s *PipelineServer) add(raw net.Conn) *serverConn {
 	s.mu.Lock()
@@ -258,7 +270,7 @@
 // it at once would reset them.
 func (s *PipelineServer) closeListener(ctx context.Context) error {
 	if tcp, ok := s.listener.(*net.TCPListener); ok {
-		_ = tcp.SetDeadline(time.Now().Add(backlogTimeout))
+		_ = tcp.SetDeadline(time.Unix(1, 0))
 	}
 	select {
 	case <-s.accepting:
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -112,6 +112,19 @@
 	case "stream":
 		_, _ = io.WriteString(w, "first ")
 		w.(http.Flusher).Flush()
+	case "deadline":
+		// As in a planned stop, another goroutine ends the reading of the body meanwhile.
+		control := http.NewResponseController(w)
+		go func() { _ = control.SetReadDeadline(time.Unix(1, 0)) }()
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2 * time.Millisecond):
+		}
 	case "check":
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.Context().Err() != nil {
@@ -287,6 +300,14 @@
 		return fmt.Sprintf("  %d events\n", len(s.handler.drain()))
 	case "read":
 		return s.read(http.MethodGet)
+	case "narrow": // narrow: the client receives only little at a time
+		_ = s.conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	case "deadlines": // deadlines n: n clients send bodies whose reading is ended meanwhile
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		return s.deadlines(n)
 	case "unsent": // unsent n: n clients send 15 requests each whose responses have to wait
 		n, err := strconv.Atoi(args[1])
 		if err != nil {
@@ -350,6 +371,44 @@
 	heldBytes = 16 << 20
 )
 
+// deadlines runs clients that send bodies one after another for two seconds.
+func (s *pipelineScript) deadlines(clients int) string {
+	var group sync.WaitGroup
+	var unanswered atomic.Int64
+	for range clients {
+		group.Go(func() {
+			for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+				unanswered.Add(s.postUntilClosed(end))
+			}
+		})
+	}
+	group.Wait()
+	return fmt.Sprintf("  %d unanswered\n", unanswered.Load())
+}
+
+// postUntilClosed sends requests on a connection until its end, and returns the number of those
+// that were not answered.
+func (s *pipelineScript) postUntilClosed(end time.Time) int64 {
+	c, err := net.Dial("tcp", s.address)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(end.Add(5 * time.Second))
+	for r := bufio.NewReader(c); time.Now().Before(end); {
+		_, _ = io.WriteString(c, fmt.Sprintf(requestTexts["post"], "/deadline/a"))
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return 1
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if resp.Close {
+			break
+		}
+	}
+	return 0
+}
+
 // unsent sends requests whose responses have to wait for a first one, and reports whether the
 // server holds all of them.
 func (s *pipelineScript) unsent(clients int) string {
--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -154,12 +154,32 @@
 	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) && unread(c.raw) {
 		return c.beginRead(), nil
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.goAway() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endIdle()
 		return false, nil
 	}
 	return false, fmt.Errorf("await request: %w", err)
 }
 
+// endIdle ends a connection without open requests. The client may not have received all of
+// the last response, so that a request that it sends now must not reset the connection.
+func (c *serverConn) endIdle() {
+	if c.goAway() || !c.acceptLast() {
+		return
+	}
+	c.linger()
+}
+
+// acceptLast accepts no further requests, and reports whether any would have been accepted
+// before.
+func (c *serverConn) acceptLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.lastAccepted
+	c.lastAccepted = true
+	return !before
+}
+
 // clearDeadline removes the read deadline if requests are open, and reports whether they are.
 // The deadline was meant for the body of one of them then, which has been read meanwhile.
 func (c *serverConn) clearDeadline() bool {
--- a/internal/http1/sockopt.go
+++ b/internal/http1/sockopt.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"syscall"
 )
 
@@ -27,6 +29,36 @@
 	})
 }
 
+// acceptNow accepts a connection that is waiting, or returns an error. The deadline of the
+// listener does not apply.
+func acceptNow(l net.Listener) (net.Conn, error) {
+	sc, ok := l.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil, fmt.Errorf("access listener: %w", err)
+	}
+	var fd int
+	var acceptErr error
+	if err := raw.Control(func(listener uintptr) {
+		fd, _, acceptErr = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	}); err != nil {
+		return nil, fmt.Errorf("access listener: %w", err)
+	}
+	if acceptErr != nil {
+		return nil, fmt.Errorf("accept: %w", acceptErr)
+	}
+	f := os.NewFile(uintptr(fd), "")
+	defer func() { _ = f.Close() }()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil, fmt.Errorf("wrap connection: %w", err)
+	}
+	return c, nil
+}
+
 // peek returns how many bytes a socket has to read, at most one. None means that the peer has
 // ended the connection, or that it is open if open is set.
 func peek(fd uintptr) (n int, open bool) {
