Count the grace time of a stop from its signal, also if the process was stopped then

Cause: Daemon.Stop planned by the time at which it handled the signal, which waits while a process is stopped or its machine suspended. A process cannot ask when a signal was sent, but it can know since when it has not run: suspend.Monitor records eight times a second that it runs, by a clock that counts suspension. If the process has just resumed, the stop counts from the time at which it last ran, which is at most an eighth of a second before the signal.

Evidence: process/signals, SIGSTOP, SIGTERM, 2 s, SIGCONT: 'ended after 2.930204655s' of the 2 s that were left before, in time now. suspend/monitor has the decision.

--- a/cmd/lycheehead/signals_test.go
+++ b/cmd/lycheehead/signals_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 )
 
-var signalsByName = map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM, "int": syscall.SIGINT, "quit": syscall.SIGQUIT}
+var signalsByName = map[string]syscall.Signal{"hup": syscall.SIGHUP, "term": syscall.SIGTERM, "int": syscall.SIGINT, "quit": syscall.SIGQUIT, "stop": syscall.SIGSTOP, "cont": syscall.SIGCONT}
 
 // TestSignals guards against a planned stop that never begins because its signal arrives
 // while reloads wait (LOST). The words of a script are the signals that arrive before any is
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/customer"
@@ -73,6 +74,8 @@
 	shutdown *shutdown
 	// openRequests is the number of requests from callers that have not been answered.
 	openRequests atomic.Int64
+	// monitor notices that the process was stopped or its machine suspended.
+	monitor *suspend.Monitor
 }
 
 // Platform adapts the daemon to a platform: to its header fields, its store and the
@@ -119,6 +122,7 @@
 		cancel:   cancel,
 		budget:   budget,
 		shutdown: newShutdown(),
+		monitor:  suspend.NewMonitor(),
 	}
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
@@ -280,6 +284,7 @@
 	d.events.spawnLoop(ctx, d.gossiper.runHeartbeats)
 	d.events.spawnLoop(ctx, d.limiter.reportDemand)
 	d.events.spawnLoop(ctx, d.sweep)
+	d.events.spawnLoop(ctx, func() { d.monitor.Run(ctx) })
 	d.events.stateChange("start", "service", s.GetService(), "backend", s.GetBackend(), "store", s.GetStore())
 	return nil
 }
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -70,18 +70,20 @@
 // Stop ends the daemon within its grace time. The daemon reports that it is not ready, and
 // serves what can be answered before its exit until its callers have left. It then sends no
 // more requests to its backend server, waits for those that are running, with the calls that
-// they lead to, and ends.
+// they lead to, and ends. The grace time counts from the signal, which may have waited while
+// the process did not run.
 func (d *Daemon) Stop() error {
-	begin := time.Now()
+	delay := d.monitor.Delay()
+	begin := time.Now().Add(-delay)
 	exit := begin.Add(cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace) - exitBeforeEnd)
 	last := exit.Add(-answerBeforeExit)
 	plan := caller.NewShutdown(begin, last, drainDelay)
 	d.shutdown.plan.Store(&plan)
-	d.events.stateChange("stop", "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	d.events.stateChange("stop", "delay", delay.String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	// Another daemon has to take over reading the store for the data centre.
 	d.watcher.leaving.Store(true)
 	d.gossiper.syncCentre()
-	sleep(d.gossiper.ctx, min(drainDelay, time.Until(last)))
+	sleep(d.gossiper.ctx, min(drainDelay-delay, time.Until(last)))
 	waitUntil(last, idleBeforeRefusal, func() bool { return d.openRequests.Load() == 0 })
 	d.shutdown.backendClosed.Store(true)
 	d.admission.queue.SetClosed(true)
--- /dev/null
+++ b/internal/suspend/monitor_test.go
@@ -0,0 +1,41 @@
+package suspend_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/suspend"
+)
+
+// TestMonitor guards against a planned stop that lasts beyond its grace time since its signal
+// arrived while the process was stopped (LOST). A line of a script is a time during which the
+// process runs, or does not run, and the delay of a signal after that.
+func TestMonitor(t *testing.T) {
+	datadriven.RunTest(t, "testdata/monitor", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		synctest.Test(t, func(t *testing.T) {
+			m := suspend.NewMonitor()
+			for line := range strings.Lines(d.Input) {
+				verb, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+				duration, err := time.ParseDuration(text)
+				if err != nil {
+					t.Fatal(err)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), duration)
+				if verb == "run" {
+					m.Run(ctx)
+				}
+				<-ctx.Done()
+				cancel()
+				fmt.Fprintf(&out, "%s %s: %s\n", verb, duration, m.Delay())
+			}
+		})
+		return out.String()
+	})
+}
