Keep half of the grace time for a stop whose signal may have come after a long pause

If the signal came at the end of a pause that was longer than the grace time, the daemon ended at once, with all requests that it had accepted, though it had the whole grace time. process/signals (SIGSTOP, 5 s, SIGTERM, SIGCONT; grace time 4 s) gave 'alive: exit status 0' after half a second. At most half of the grace time is taken off now. A signal that came early in such a pause is followed by SIGKILL within the other half, in which the pause excuses what is lost.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -73,9 +73,11 @@
 // they lead to, and ends. The grace time counts from the signal, which may have waited while
 // the process did not run.
 func (d *Daemon) Stop() error {
-	delay := d.monitor.Delay()
+	grace := cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace)
+	// The signal may also have come at the end of a long pause, so a part of the time is kept.
+	delay := min(d.monitor.Delay(), grace/2)
 	begin := time.Now().Add(-delay)
-	exit := begin.Add(cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace) - exitBeforeEnd)
+	exit := begin.Add(grace - exitBeforeEnd)
 	last := exit.Add(-answerBeforeExit)
 	plan := caller.NewShutdown(begin, last, drainDelay)
 	d.shutdown.plan.Store(&plan)
