--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -32,7 +32,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// closeTimeout bounds Close, which does not wait for open requests.
 	closeTimeout = 50 * time.Millisecond
-	// logTimeout is how long after that the log may be written out, within exitBeforeEnd.
+	// logTimeout is how long after closeTimeout the log may be written out. Both lie within
+	// exitBeforeEnd.
 	logTimeout = 100 * time.Millisecond
 )
 
