--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -295,10 +295,11 @@
 // send writes a request. It returns false if the connection cannot be written to.
 func (x *exchange) send(m *message, begun, sent *time.Duration) bool {
 	c := x.caller
+	at := c.fleet.journal.now()
 	if _, err := io.WriteString(c.conn, m.head); err != nil {
 		return false
 	}
-	*begun = c.fleet.journal.now()
+	*begun = at
 	if m.expect {
 		select {
 		case <-x.proceed:
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -27,7 +27,7 @@
 	bodySize          int
 	bodySum           uint32
 
-	// begun is when the head was sent, sent when the last byte was.
+	// begun is when the caller began to send the head, sent when the last byte was sent.
 	begun, sent, ended time.Duration
 	outcome            outcome
 	// received is how often a backend server has read the request's head.
