--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -166,8 +166,9 @@
 	idle, head time.Duration
 	// busy holds up the server before it reads a request, while it holds a value.
 	busy chan struct{}
-	// stopped is closed once Shutdown has returned.
+	// stopped is closed once Shutdown has returned. forced states that it took all of its time.
 	stopped chan struct{}
+	forced  bool
 }
 
 // requestTexts are the requests that a script can send. %s is the path.
@@ -253,10 +254,12 @@
 	s.conn, s.reader = c, bufio.NewReader(c)
 }
 
-func (s *pipelineScript) stop(timeout time.Duration) {
+// stop shuts the server down and reports whether that has taken all of its time.
+func (s *pipelineScript) stop(timeout time.Duration) (forced bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	_ = s.server.Shutdown(ctx)
+	return ctx.Err() != nil
 }
 
 func (s *pipelineScript) runLine(line string) string {
@@ -342,20 +345,31 @@
 		_ = s.conn.Close()
 	case "connect":
 		s.connect()
-	case "shutdown":
+	case "shutdown": // shutdown [timeout], one second by default
+		timeout := time.Second
+		if len(args) > 1 {
+			var err error
+			if timeout, err = time.ParseDuration(args[1]); err != nil {
+				s.t.Fatal(err)
+			}
+		}
 		go func() {
-			s.stop(time.Second)
+			s.forced = s.stop(timeout)
 			close(s.stopped)
 		}()
 		time.Sleep(50 * time.Millisecond)
 	case "stopped":
 		select {
 		case <-s.stopped:
+			text := "  stopped"
+			if s.forced {
+				text += " at the time limit"
+			}
 			if n := s.server.CloseCounts(); n.Cut()+n.Unread() > 0 {
-				return fmt.Sprintf("  stopped, %d cut, %d unread\n", n.Cut(), n.Unread())
+				text += fmt.Sprintf(", %d cut, %d unread", n.Cut(), n.Unread())
 			}
-			return "  stopped\n"
-		case <-time.After(2 * time.Second):
+			return text + "\n"
+		case <-time.After(6 * time.Second):
 			return "  still running\n"
 		}
 	default:
