Count time for which the machine is suspended off the grace time of a stop

What callers would see: requests that a daemon accepts after its machine was suspended in the middle of a planned stop end without an answer, as the process is killed at the true end of the grace time. Found by reading (listed as remaining in the postmortem); a suspended machine was not at hand.

A process that is stopped by a signal during a stop was not affected, as the runtime's clock runs on; process/signals has a script for that, which passed before.

Kin: a context of a stop may now end by cancellation, so the HTTP library's server closes its connections after any end of the context. Deadlines of sockets still do not count suspension, as the postmortem says.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -81,7 +80,7 @@
 // Shutdown implements Server.
 func (s *restServer) Shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if err != nil && ctx.Err() != nil {
 		err = s.http.Close()
 	}
 	if err != nil {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -121,9 +121,9 @@
 		peers:    newPeerClients(inboundAddr.Port(), controlAddr.Port(), budget),
 		cancel:   cancel,
 		budget:   budget,
-		shutdown: newShutdown(),
-		monitor:  suspend.NewMonitor(),
+		monitor:  suspend.NewMonitor(suspend.Start().Elapsed),
 	}
+	d.shutdown = newShutdown(d.monitor)
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
 	rateBound := customer.NewRateBound(bounds.GetQuotaWindow().AsDuration(), bounds.GetQuotaOver(), bounds.GetQuotaSlack())
--- a/internal/sidecar/log_stop_test.go
+++ b/internal/sidecar/log_stop_test.go
@@ -38,6 +38,24 @@
 	return len(p), nil
 }
 
+// newBusyDaemon returns a daemon whose servers have requests that do not end.
+func newBusyDaemon(t *testing.T, grace time.Duration, out io.Writer) *Daemon {
+	t.Helper()
+	s := schema.Sidecar_builder{
+		Backend: proto.String("127.0.0.1:1"),
+		Inbound: proto.String("127.0.0.1:2"),
+		Control: proto.String("127.0.0.1:3"),
+		Bounds:  schema.Bounds_builder{Grace: durationpb.New(grace)}.Build(),
+	}.Build()
+	daemon, err := New(s, Platform{}, logs.NewWriter(out), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	daemon.requestServers = []requestServer{busyServer{}}
+	daemon.otherServers = []http1.Server{busyServer{}}
+	return daemon
+}
+
 // TestLogAtStop guards against a log output that nobody reads and that delays the end of a
 // planned stop, with requests that last until then, beyond the grace time. A process that is
 // killed at that time does not end its connections in order (LOST).
@@ -45,10 +63,7 @@
 	datadriven.RunTest(t, "testdata/log_stop", func(t *testing.T, d *datadriven.TestData) (result string) {
 		var graceText string
 		d.ScanArgs(t, "grace", &graceText)
-		grace, err := time.ParseDuration(graceText)
-		if err != nil {
-			t.Fatal(err)
-		}
+		grace := parseDuration(t, graceText)
 		synctest.Test(t, func(t *testing.T) {
 			blocked := blockedWriter{unblocked: make(chan struct{})}
 			defer close(blocked.unblocked)
@@ -56,18 +71,7 @@
 			if d.Cmd == "read" {
 				out = io.Discard
 			}
-			s := schema.Sidecar_builder{
-				Backend: proto.String("127.0.0.1:1"),
-				Inbound: proto.String("127.0.0.1:2"),
-				Control: proto.String("127.0.0.1:3"),
-				Bounds:  schema.Bounds_builder{Grace: durationpb.New(grace)}.Build(),
-			}.Build()
-			daemon, err := New(s, Platform{}, logs.NewWriter(out), true)
-			if err != nil {
-				t.Fatal(err)
-			}
-			daemon.requestServers = []requestServer{busyServer{}}
-			daemon.otherServers = []http1.Server{busyServer{}}
+			daemon := newBusyDaemon(t, grace, out)
 			begin := time.Now()
 			if err := daemon.Stop(); err != nil {
 				t.Fatal(err)
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
@@ -40,7 +41,8 @@
 // shutdown is the state of a planned stop. Use newShutdown to create that of a daemon that is
 // not stopping.
 type shutdown struct {
-	// plan is set once the daemon is stopping.
+	monitor *suspend.Monitor
+	// plan is set once the daemon is stopping. Its times are those of the monitor's clock.
 	plan atomic.Pointer[caller.Shutdown]
 	// refusing is set once no more requests of callers are accepted, and backendClosed once
 	// no more requests are sent to the backend server.
@@ -51,8 +53,8 @@
 	refuseBodies context.CancelFunc
 }
 
-func newShutdown() *shutdown {
-	s := &shutdown{}
+func newShutdown(m *suspend.Monitor) *shutdown {
+	s := &shutdown{monitor: m}
 	s.bodies, s.refuseBodies = context.WithCancel(context.Background())
 	return s
 }
@@ -65,19 +67,20 @@
 // returns the mean run time of such requests.
 func (s *shutdown) accepts(now time.Time, req *request, meanRunTime func(route string) time.Duration) bool {
 	p := s.plan.Load()
-	return p == nil || p.Accepts(now, req.deadline, meanRunTime(req.route))
+	return p == nil || p.Accepts(s.monitor.Clock(now), s.monitor.Clock(req.deadline), meanRunTime(req.route))
 }
 
 // Stop ends the daemon within its grace time. The daemon reports that it is not ready, and
 // serves what can be answered before its exit until its callers have left. It then sends no
 // more requests to its backend server, waits for those that are running, with the calls that
 // they lead to, and ends. The grace time counts from the signal, which may have waited while
-// the process did not run.
+// the process did not run, and goes on while the machine is suspended.
 func (d *Daemon) Stop() error {
 	grace := cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace)
 	// The signal may also have come at the end of a long pause, so a part of the time is kept.
 	delay := min(d.monitor.Delay(), grace/2)
-	begin := time.Now().Add(-delay)
+	begin := d.monitor.Now().Add(-delay)
+	noticed := begin.Add(drainDelay)
 	exit := begin.Add(grace - exitBeforeEnd)
 	last := exit.Add(-answerBeforeExit)
 	plan := caller.NewShutdown(begin, last, drainDelay)
@@ -86,24 +89,25 @@
 	// Another daemon has to take over reading the store for the data centre.
 	d.watcher.leaving.Store(true)
 	d.gossiper.syncCentre()
-	sleep(d.gossiper.ctx, min(drainDelay-delay, time.Until(last)))
-	waitUntil(last, idleBeforeRefusal, func() bool { return d.openRequests.Load() == 0 })
+	d.waitUntil(last, idleBeforeRefusal, func() bool {
+		return !d.monitor.Now().Before(noticed) && d.openRequests.Load() == 0
+	})
 	d.shutdown.backendClosed.Store(true)
 	d.admission.queue.SetClosed(true)
 	// The calls that the backend server makes for running requests count as open requests.
-	waitUntil(last, idleBeforeRefusal, func() bool {
+	d.waitUntil(last, idleBeforeRefusal, func() bool {
 		return d.openRequests.Load() == 0 && d.admission.running.Load() == 0
 	})
 	d.shutdown.refusing.Store(true)
 	d.shutdown.refuseBodies()
-	d.events.stateChange("closing", "took", time.Since(begin).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	d.events.stateChange("closing", "took", d.monitor.Now().Sub(begin).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	return d.close(exit)
 }
 
 // waitUntil waits until a condition has been true for a duration, at most until end.
-func waitUntil(end time.Time, duration time.Duration, condition func() bool) {
-	since := time.Now()
-	for now := since; now.Before(end); now = time.Now() {
+func (d *Daemon) waitUntil(end time.Time, duration time.Duration, condition func() bool) {
+	since := d.monitor.Now()
+	for now := since; now.Before(end); now = d.monitor.Now() {
 		switch {
 		case !condition():
 			since = now
@@ -115,15 +119,15 @@
 }
 
 // Close ends the daemon at once. Requests that are still open are lost.
-func (d *Daemon) Close() error { return d.close(time.Now().Add(closeTimeout)) }
+func (d *Daemon) Close() error { return d.close(d.monitor.Now().Add(closeTimeout)) }
 
 // close ends the daemon. It waits for open requests until the given time.
 func (d *Daemon) close(until time.Time) error {
-	errs := []error{shutDown(until, d.requestServers)}
-	if soon := time.Now().Add(closeTimeout); soon.Before(until) {
+	errs := []error{shutDown(d.monitor, until, d.requestServers)}
+	if soon := d.monitor.Now().Add(closeTimeout); soon.Before(until) {
 		until = soon
 	}
-	errs = append(errs, shutDown(until, d.otherServers))
+	errs = append(errs, shutDown(d.monitor, until, d.otherServers))
 	d.cancel()
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
@@ -132,7 +136,7 @@
 		unread, cut = unread+s.CloseCounts().Unread(), cut+s.CloseCounts().Cut()
 	}
 	d.events.stateChange("stopped", "open", d.openRequests.Load(), "running", d.admission.running.Load(), "unread", unread, "cut", cut)
-	d.out.Close(time.Until(until.Add(logTimeout)))
+	d.out.Close(until.Add(logTimeout).Sub(d.monitor.Now()))
 	if err := errors.Join(errs...); err != nil {
 		return fmt.Errorf("close daemon: %w", err)
 	}
@@ -140,8 +144,8 @@
 }
 
 // shutDown shuts down servers and waits for their open requests until the given time.
-func shutDown[S http1.Server](until time.Time, servers []S) error {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+func shutDown[S http1.Server](m *suspend.Monitor, until time.Time, servers []S) error {
+	ctx, cancel := m.WithDeadline(context.Background(), until)
 	defer cancel()
 	errs := make([]error, len(servers))
 	var group sync.WaitGroup
--- a/internal/suspend/monitor.go
+++ b/internal/suspend/monitor.go
@@ -12,13 +12,16 @@
 	beatInterval = 125 * time.Millisecond
 	// maxPause is the time without a record after which the process counts as stopped.
 	maxPause = 2 * beatInterval
+	// deadlineInterval is the time between two checks whether a context has ended.
+	deadlineInterval = 20 * time.Millisecond
 )
 
 // Monitor notices that the process did not run for a while, since it was stopped by a signal
-// or its machine was suspended. Use NewMonitor to create one.
+// or its machine was suspended, and has a clock that counts that time. Use NewMonitor to create
+// one.
 type Monitor struct {
-	start time.Time
-	meter Meter
+	start     time.Time
+	suspended func() time.Duration
 	// mu has rank lock.Logs and guards the fields below, which are times since start.
 	mu *lock.Mutex
 	// last is when the process was last known to run.
@@ -27,9 +30,36 @@
 	stopped, resumed time.Duration
 }
 
-// NewMonitor returns a Monitor of a process that runs.
-func NewMonitor() *Monitor {
-	return &Monitor{start: time.Now(), meter: Start(), mu: lock.New(lock.Logs)}
+// NewMonitor returns a Monitor of a process that runs. suspended returns for how long the
+// machine has been suspended, as Meter.Elapsed does.
+func NewMonitor(suspended func() time.Duration) *Monitor {
+	return &Monitor{start: time.Now(), suspended: suspended, mu: lock.New(lock.Logs)}
+}
+
+// Clock converts a time of the runtime's clock, which does not advance while the machine is
+// suspended, to one of a clock that does.
+func (m *Monitor) Clock(t time.Time) time.Time { return t.Add(m.suspended()) }
+
+// Now returns the time by the clock that advances while the machine is suspended.
+func (m *Monitor) Now() time.Time { return m.Clock(time.Now()) }
+
+// WithDeadline returns a context that ends at a time by the clock that advances while the
+// machine is suspended.
+func (m *Monitor) WithDeadline(parent context.Context, end time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(parent, end.Add(-m.suspended()))
+	go func() {
+		defer cancel()
+		t := time.NewTicker(deadlineInterval)
+		defer t.Stop()
+		for m.Now().Before(end) {
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
 }
 
 // Run records that the process runs, until ctx ends.
@@ -51,7 +81,7 @@
 func (m *Monitor) Delay() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Since(m.start) + m.meter.Elapsed()
+	now := m.Now().Sub(m.start)
 	if now-m.last > maxPause {
 		m.stopped, m.resumed = m.last, now
 	}
--- a/internal/suspend/monitor_test.go
+++ b/internal/suspend/monitor_test.go
@@ -20,7 +20,7 @@
 	datadriven.RunTest(t, "testdata/monitor", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
 		synctest.Test(t, func(t *testing.T) {
-			m := suspend.NewMonitor()
+			m := suspend.NewMonitor(suspend.Start().Elapsed)
 			for line := range strings.Lines(d.Input) {
 				verb, text, _ := strings.Cut(strings.TrimSpace(line), " ")
 				duration, err := time.ParseDuration(text)
