Move what planned stops of both daemons share to a package

stop.Plan has the times of a stop and stop.Bodies the refusal of bodies at its end, so that `run` can use them as `sidecar` does. http1.ShutdownAll shuts servers down at the same time. No change of behaviour: TestLogAtStop, TestSuspendedStop and TestSidecar/stop pass as before.

--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -89,6 +91,17 @@
 	return nil
 }
 
+// ShutdownAll shuts down servers at the same time.
+func ShutdownAll[S Server](ctx context.Context, servers []S) error {
+	errs := make([]error, len(servers))
+	var group sync.WaitGroup
+	for i, s := range servers {
+		group.Go(func() { errs[i] = s.Shutdown(ctx) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
 // DelaySignalShutdown delays go-zero's reaction to a termination signal, so that the
 // caller has time to shut down first. By default go-zero closes the servers one second
 // after the signal and then ends the process. It must be called before the signal arrives.
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -120,7 +120,7 @@
 	switch {
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		return decision, refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
-	case errors.Is(err, os.ErrDeadlineExceeded) && in.shutdown.bodies.Err() != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded) && in.shutdown.bodies.Refused():
 		return decision, refusedResponse(caller.ReasonLeaving, jitter(unavailableRetryAfter))
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return decision, refusedResponse(caller.ReasonDeadlineExceeded, 0)
@@ -216,12 +216,11 @@
 	if err != nil {
 		return body{}, err //nolint:wrapcheck // only compared
 	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(deadline); err != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
 		lease.Release()
 		return body{}, fmt.Errorf("set body read deadline: %w", err)
 	}
-	defer context.AfterFunc(in.shutdown.bodies, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })()
+	defer in.shutdown.bodies.Limit(w)()
 	b, err := readPrefix(r)
 	if err != nil {
 		lease.Release()
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/stop"
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
@@ -20,12 +20,6 @@
 	// drainDelay is how long a stopping daemon continues to serve at least, so that
 	// callers can detect that it is not ready.
 	drainDelay = 2500 * time.Millisecond
-	// exitBeforeEnd is how long before the end of the grace time the process ends at the
-	// latest, even if requests are still open.
-	exitBeforeEnd = 250 * time.Millisecond
-	// answerBeforeExit is how long before that the last response is due. It is the time
-	// for writing responses and closing connections.
-	answerBeforeExit = 150 * time.Millisecond
 	// idleBeforeRefusal is the time without open requests after which the daemon begins
 	// to refuse new ones.
 	idleBeforeRefusal = 200 * time.Millisecond
@@ -34,7 +28,7 @@
 	// closeTimeout bounds Close, which does not wait for open requests.
 	closeTimeout = 50 * time.Millisecond
 	// logTimeout is how long after closeTimeout the log may be written out. Both lie within
-	// exitBeforeEnd.
+	// the time that a stop.Plan leaves between the last response and the end.
 	logTimeout = 100 * time.Millisecond
 )
 
@@ -47,16 +41,12 @@
 	// refusing is set once no more requests of callers are accepted, and backendClosed once
 	// no more requests are sent to the backend server.
 	refusing, backendClosed atomic.Bool
-	// bodies ends once requests whose body is still arriving are refused.
-	bodies context.Context //nolint:containedctx // a state, not a call
-	// refuseBodies ends bodies.
-	refuseBodies context.CancelFunc
+	// bodies refuses requests whose body is still arriving.
+	bodies *stop.Bodies
 }
 
 func newShutdown(m *suspend.Monitor) *shutdown {
-	s := &shutdown{monitor: m}
-	s.bodies, s.refuseBodies = context.WithCancel(context.Background())
-	return s
+	return &shutdown{monitor: m, bodies: stop.NewBodies()}
 }
 
 // stopping reports whether the daemon is stopping. Connections are then closed after their
@@ -76,16 +66,11 @@
 // they lead to, and ends. The grace time counts from the signal, which may have waited while
 // the process did not run, and goes on while the machine is suspended.
 func (d *Daemon) Stop() error {
-	grace := cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace)
-	// The signal may also have come at the end of a long pause, so a part of the time is kept.
-	delay := min(d.monitor.Delay(), grace/2)
-	begin := d.monitor.Now().Add(-delay)
-	noticed := begin.Add(drainDelay)
-	exit := begin.Add(grace - exitBeforeEnd)
-	last := exit.Add(-answerBeforeExit)
-	plan := caller.NewShutdown(begin, last, drainDelay)
+	times := stop.NewPlan(d.monitor, cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace))
+	last, noticed := times.Last(), times.Begin().Add(drainDelay)
+	plan := caller.NewShutdown(times.Begin(), last, drainDelay)
 	d.shutdown.plan.Store(&plan)
-	d.events.stateChange("stop", "delay", delay.String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	d.events.stateChange("stop", "delay", times.Delay().String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	// Another daemon has to take over reading the store for the data centre.
 	d.watcher.leaving.Store(true)
 	d.gossiper.syncCentre()
@@ -99,9 +84,9 @@
 		return d.openRequests.Load() == 0 && d.admission.running.Load() == 0
 	})
 	d.shutdown.refusing.Store(true)
-	d.shutdown.refuseBodies()
-	d.events.stateChange("closing", "took", d.monitor.Now().Sub(begin).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
-	return d.close(exit)
+	d.shutdown.bodies.Refuse()
+	d.events.stateChange("closing", "took", d.monitor.Now().Sub(times.Begin()).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
+	return d.close(times.Exit())
 }
 
 // waitUntil waits until a condition has been true for a duration, at most until end.
@@ -123,11 +108,11 @@
 
 // close ends the daemon. It waits for open requests until the given time.
 func (d *Daemon) close(until time.Time) error {
-	errs := []error{shutDown(d.monitor, until, d.requestServers)}
+	errs := []error{shutDown(d, until, d.requestServers)}
 	if soon := d.monitor.Now().Add(closeTimeout); soon.Before(until) {
 		until = soon
 	}
-	errs = append(errs, shutDown(d.monitor, until, d.otherServers))
+	errs = append(errs, shutDown(d, until, d.otherServers))
 	d.cancel()
 	d.pool.Close()
 	errs = append(errs, d.metrics.close())
@@ -144,14 +129,8 @@
 }
 
 // shutDown shuts down servers and waits for their open requests until the given time.
-func shutDown[S http1.Server](m *suspend.Monitor, until time.Time, servers []S) error {
-	ctx, cancel := m.WithDeadline(context.Background(), until)
+func shutDown[S http1.Server](d *Daemon, until time.Time, servers []S) error {
+	ctx, cancel := d.monitor.WithDeadline(context.Background(), until)
 	defer cancel()
-	errs := make([]error, len(servers))
-	var group sync.WaitGroup
-	for i, s := range servers {
-		group.Go(func() { errs[i] = s.Shutdown(ctx) })
-	}
-	group.Wait()
-	return errors.Join(errs...)
+	return http1.ShutdownAll(ctx, servers) //nolint:wrapcheck // wrapped by the caller
 }
