Count the time limit of a stop of `run` from its signal

What callers saw: a daemon of `run` that is frozen as SIGTERM comes ends up to stop.bound after its wake-up, and whoever kills it at the bound cuts the requests that it accepted meanwhile. Cause: the limit counted from the moment at which the signal was handled, as in `sidecar` before. Besides, one context bounded both the wait for running requests and the end of the connections, so that no time was left for the second where requests run until the end.

daemon.Stop now uses stop.Plan, as `sidecar` does: the limit counts from the signal and goes on while the machine is suspended, half of it is kept after a long pause, the last response is due 0.4 s before its end, and all servers are shut down from then until 0.25 s before it. It takes the place of two copies of the sequence, in the command and in the test mesh.

The line 'stop' also has the field delay, as in `sidecar`.

--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -70,6 +70,8 @@
 	ports [portCount]int
 	// streams are the reading ends of the pipes to which the process writes, or nil.
 	streams [2]*stream
+	// conn is the connection of the step "half", or nil.
+	conn    net.Conn
 	process *os.Process
 	ended   chan struct{}
 	state   *os.ProcessState
@@ -275,6 +277,9 @@
 			_ = s.reader.Close()
 		}
 	}
+	if p.conn != nil {
+		_ = p.conn.Close()
+	}
 }
 
 var errTimeout = errors.New("timed out")
@@ -296,6 +301,8 @@
 		return p.process.Signal(signalsByName[words[1]])
 	case "settings":
 		close(p.ready)
+	case "half":
+		return p.sendHalf()
 	case "pass":
 		duration, err := time.ParseDuration(words[1])
 		time.Sleep(duration)
@@ -337,6 +344,17 @@
 	return nil
 }
 
+// sendHalf sends a part of the head of a request, so that a planned stop lasts as long as it may.
+func (p *process) sendHalf() error {
+	var err error
+	if p.conn, err = net.Dial("tcp", p.address(portOutbound)); err != nil {
+		return err
+	}
+	_, err = io.WriteString(p.conn, "GET / HTTP/1.1\r\n")
+	time.Sleep(10 * pollInterval)
+	return err
+}
+
 // answers reports whether the process serves metrics that match a pattern.
 func (p *process) answers(pattern string) bool {
 	client := http.Client{Timeout: time.Second}
--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"os"
 	"runtime"
@@ -65,7 +63,10 @@
 	d.Start()
 	go logHangups(received.reload, log)
 	received.awaitStop()
-	return shutdown(s, d, servers)
+	if err := d.Stop(settings.ShutdownTimeout(s), servers); err != nil {
+		return fmt.Errorf("run: %w", err)
+	}
+	return nil
 }
 
 // limitResources limits the threads and the memory of the process. GOMAXPROCS and GOGC
@@ -105,21 +106,3 @@
 	}
 	return []http1.Server{callers, local, admin}, nil
 }
-
-// shutdown refuses new requests, waits for the running ones up to the configured time
-// limit and then closes the daemon.
-func shutdown(s *schema.Settings, d *daemon.Daemon, servers []http1.Server) error {
-	ctx, cancel := context.WithTimeout(context.Background(), settings.ShutdownTimeout(s))
-	defer cancel()
-	err := d.Drain(ctx)
-	for _, server := range servers {
-		err = errors.Join(err, server.Shutdown(ctx))
-	}
-	if e := d.Close(); e != nil {
-		err = errors.Join(err, e)
-	}
-	if err != nil {
-		return fmt.Errorf("shut down: %w", err)
-	}
-	return nil
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -12,10 +13,13 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/lycheehead/lycheehead/internal/bundle"
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/peerquic"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/settings"
+	"github.com/lycheehead/lycheehead/internal/stop"
+	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/lock"
@@ -30,15 +34,15 @@
 	queueDepth = 4096
 	// sweepInterval is the time between removals of expired state.
 	sweepInterval = 5 * time.Second
-	// drainPollInterval is how often Drain checks whether all calls have ended.
+	// drainPollInterval is how often Stop checks whether all calls have ended.
 	drainPollInterval = 20 * time.Millisecond
 	// initialConcurrency is the number of requests that the gate assumes the backend
 	// server can run at once, until the first version sets that number.
 	initialConcurrency = 1
 )
 
-// ErrCallsRunning is wrapped by the error that Drain returns if calls are still running
-// when its context ends.
+// ErrCallsRunning is wrapped by the error that Stop returns if calls are still running
+// when its time is over.
 var ErrCallsRunning = eris.New("calls still running")
 
 // Daemon is the process beside a backend server. Use New to create one, then call Start
@@ -54,12 +58,14 @@
 	cancel     context.CancelFunc
 	// logOutput is nil or the output of the log, whose state the metrics show.
 	logOutput *logs.Writer
-	// peersClosed is closed once the other daemons have closed their connections after
-	// Drain. It is nil before.
+	// peersClosed is closed once the other daemons have closed their connections during
+	// Stop. It is nil before.
 	peersClosed <-chan struct{}
 	// applyMu, of rank lock.Config, makes the components apply versions in the order in
 	// which the store put them in force.
 	applyMu *lock.Mutex
+	// monitor notices that the process was stopped or its machine suspended.
+	monitor *suspend.Monitor
 }
 
 // New creates a daemon from validated settings and opens its peer address, which Close
@@ -93,7 +99,12 @@
 		baseCtx:  baseCtx,
 		tasks:    tasks{group: workers.NewGroup()},
 	}
-	d := &Daemon{core: c, cancel: cancel, applyMu: lock.New(lock.Config)}
+	d := &Daemon{
+		core:    c,
+		cancel:  cancel,
+		applyMu: lock.New(lock.Config),
+		monitor: suspend.NewMonitor(suspend.Start().Elapsed),
+	}
 	d.assemble(now)
 	return d, nil
 }
@@ -161,6 +172,7 @@
 	d.core.mesh.Serve(d)
 	d.feed.start()
 	d.core.tasks.start(d.sweep)
+	d.core.tasks.start(func() { d.monitor.Run(d.core.baseCtx) })
 }
 
 func (d *Daemon) sweep() {
@@ -211,16 +223,33 @@
 // Metrics returns the HTTP handler that exposes the metrics.
 func (d *Daemon) Metrics() http.Handler { return d.core.metrics.handler }
 
-// Drain starts a planned stop: new work is refused as not run, one peer is notified
-// by gossip, and the requests that the backend server was given continue, with the calls
-// that they make. It returns when none of them is running, or with an error that wraps
-// ErrCallsRunning when ctx ends. Then the other daemons are asked to close their connections
-// once they have read the responses, for which Close waits until ctx ends.
-func (d *Daemon) Drain(ctx context.Context) error {
+// Stop is a planned stop of the daemon and of the servers that pass requests to it: new work is
+// refused as not run, one peer is notified by gossip, and the requests that the backend server was
+// given continue, with the calls that they make. Once none of them is running, or the last
+// response is due, the other daemons are asked to close their connections, and the servers are
+// shut down. The time limit counts from the signal to stop, which the process handles now. The
+// error wraps ErrCallsRunning if calls were still running when the last response was due.
+func (d *Daemon) Stop(limit time.Duration, servers []http1.Server) error {
+	plan := stop.NewPlan(d.monitor, limit)
+	last, cancelLast := d.monitor.WithDeadline(context.Background(), plan.Last())
+	defer cancelLast()
+	exit, cancelExit := d.monitor.WithDeadline(context.Background(), plan.Exit())
+	defer cancelExit()
 	d.core.stopping.Store(true)
 	d.core.members.Leave()
 	d.egress.gate.Close()
-	d.core.log.Info("stop", "step", "drain")
+	d.core.log.Info("stop", "step", "drain", "delay", plan.Delay().String())
+	err := d.drain(last)
+	err = errors.Join(err, http1.ShutdownAll(exit, servers))
+	if err = errors.Join(err, d.Close()); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+// drain waits until no call is running, and then asks the other daemons to close their
+// connections once they have read the responses, for which Close waits until ctx ends.
+func (d *Daemon) drain(ctx context.Context) error {
 	if name, ok := d.replicator.nextPeer(time.Now()); ok {
 		d.replicator.gossipWith(name)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"crypto/ed25519"
 	"crypto/rand"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	mrand "math/rand/v2"
 	"net"
@@ -321,15 +320,9 @@
 	s.daemon = nil
 }
 
-// Stop drains the daemon and then stops it.
+// Stop stops the daemon as at a signal.
 func (s *Slot) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err := s.daemon.Drain(ctx)
-	for _, server := range s.servers {
-		err = errors.Join(err, server.Shutdown(ctx))
-	}
-	err = errors.Join(err, s.daemon.Close())
+	err := s.daemon.Stop(stopTimeout, s.servers)
 	s.daemon = nil
 	return err
 }
