--- a/internal/http1/server.go
+++ b/internal/http1/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
@@ -81,7 +82,7 @@
 // Shutdown implements Server.
 func (s *restServer) Shutdown(ctx context.Context) error {
 	err := s.http.Shutdown(ctx)
-	if errors.Is(err, context.DeadlineExceeded) {
+	if err != nil && ctx.Err() != nil {
 		err = s.http.Close()
 	}
 	if err != nil {
@@ -90,6 +91,17 @@
 	return nil
 }
 
+// ShutdownAll shuts down servers at the same time.
+func ShutdownAll[S Server](ctx context.Context, servers []S) error {
+	errs := make([]error, len(servers))
+	var group sync.WaitGroup
+	for i, s := range servers {
+		group.Go(func() { errs[i] = s.Shutdown(ctx) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
 // DelaySignalShutdown delays go-zero's reaction to a termination signal, so that the
 // caller has time to shut down first. By default go-zero closes the servers one second
 // after the signal and then ends the process. It must be called before the signal arrives.
