--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,11 @@
 	d.core.mesh.Serve(d)
 	d.feed.start()
 	d.core.tasks.start(d.sweep)
-	d.core.tasks.start(func() { d.monitor.Run(d.core.baseCtx) })
+	d.core.tasks.start(func() { d.monitor.Run(d.core.baseCtx, d.reportPause) })
+}
+
+func (d *Daemon) reportPause(paused time.Duration) {
+	d.core.log.Warn("process did not run", "took", paused.String())
 }
 
 func (d *Daemon) sweep() {
@@ -201,6 +205,7 @@
 	if age, ok := d.feed.confirmedAge(now); ok {
 		m.setGauge("confirmed_age_seconds", age.Seconds())
 	}
+	m.setGauge("paused_seconds", d.monitor.Paused().Seconds())
 	if out := d.logOutput; out != nil {
 		m.setGauge("log_lines_dropped", float64(out.Dropped()))
 		m.setGauge("log_output_failures", float64(out.Failures()))
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -284,7 +284,7 @@
 	d.events.spawnLoop(ctx, d.gossiper.runHeartbeats)
 	d.events.spawnLoop(ctx, d.limiter.reportDemand)
 	d.events.spawnLoop(ctx, d.sweep)
-	d.events.spawnLoop(ctx, func() { d.monitor.Run(ctx) })
+	d.events.spawnLoop(ctx, func() { d.monitor.Run(ctx, d.events.paused) })
 	d.events.stateChange("start", "service", s.GetService(), "backend", s.GetBackend(), "store", s.GetStore())
 	return nil
 }
@@ -353,6 +353,7 @@
 	d.metrics.gauge("body_bytes_refused", float64(d.budget.Rejected()))
 	d.metrics.gauge("bodies_evicted", float64(d.budget.Evicted()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
+	d.metrics.gauge("paused_seconds", d.monitor.Paused().Seconds())
 	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
 	d.metrics.gauge("log_output_failures", float64(d.out.Failures()))
 	d.metrics.gauge("log_output_failing_seconds", d.out.FailingFor(now).Seconds())
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// paused logs that the process did not run for a while.
+func (e *events) paused(d time.Duration) { e.stateChange("process did not run", "took", d.String()) }
+
 // panicked logs a panic. The process continues: the request or task that panicked has no
 // result.
 func (e *events) panicked(value any, stack []byte) {
--- a/internal/suspend/monitor.go
+++ b/internal/suspend/monitor.go
@@ -28,6 +28,9 @@
 	last time.Duration
 	// stopped and resumed bound the last time during which it did not run, zero for none.
 	stopped, resumed time.Duration
+	// paused is for how long the process did not run in all, and reported how much of that has
+	// been reported.
+	paused, reported time.Duration
 }
 
 // NewMonitor returns a Monitor of a process that runs. suspended returns for how long the
@@ -62,14 +65,18 @@
 	return ctx, cancel
 }
 
-// Run records that the process runs, until ctx ends.
-func (m *Monitor) Run(ctx context.Context) {
+// Run records that the process runs, until ctx ends. It calls report after each time during which
+// it did not run.
+func (m *Monitor) Run(ctx context.Context, report func(paused time.Duration)) {
 	t := time.NewTicker(beatInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
 			m.Delay()
+			if paused := m.takePaused(); paused > 0 {
+				report(paused)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -84,6 +91,7 @@
 	now := m.Now().Sub(m.start)
 	if now-m.last > maxPause {
 		m.stopped, m.resumed = m.last, now
+		m.paused += now - m.last
 	}
 	m.last = now
 	if m.resumed > 0 && now-m.resumed < maxPause {
@@ -91,3 +99,19 @@
 	}
 	return 0
 }
+
+// Paused returns for how long the process did not run in all.
+func (m *Monitor) Paused() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.paused
+}
+
+// takePaused returns the time during which the process did not run since the last call.
+func (m *Monitor) takePaused() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := m.paused - m.reported
+	m.reported = m.paused
+	return d
+}
--- a/internal/suspend/monitor_test.go
+++ b/internal/suspend/monitor_test.go
@@ -15,7 +15,8 @@
 
 // TestMonitor guards against a planned stop that lasts beyond its grace time since its signal
 // arrived while the process was stopped (LOST). A line of a script is a time during which the
-// process runs, or does not run, and the delay of a signal after that.
+// process runs, or does not run, and the delay of a signal after that. The pauses that the
+// monitor reports are shown too.
 func TestMonitor(t *testing.T) {
 	datadriven.RunTest(t, "testdata/monitor", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
@@ -29,12 +30,13 @@
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), duration)
 				if verb == "run" {
-					m.Run(ctx)
+					m.Run(ctx, func(paused time.Duration) { fmt.Fprintf(&out, "reported: %s\n", paused) })
 				}
 				<-ctx.Done()
 				cancel()
 				fmt.Fprintf(&out, "%s %s: %s\n", verb, duration, m.Delay())
 			}
+			fmt.Fprintf(&out, "paused: %s\n", m.Paused())
 		})
 		return out.String()
 	})
