Give each test fleet of sidecars loopback addresses of its own

TestSidecar used fixed ports at 127.0.0.1 to 127.0.0.9, so that a second run of it on the machine failed: of two processes with the scripts path and cuts side by side, one ended with "listen tcp 127.0.0.1:28415: bind: address already in use".

A fleet now draws a loopback network 127.a.b.0/24. The listener of its store, which is open until the test ends, keeps other test processes from the same network. All checks are as before.

--- a/internal/sidecar/bench_test.go
+++ b/internal/sidecar/bench_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/zeromicro/go-zero/core/logx"
-
-	"github.com/lycheehead/lycheehead/internal/sidecar"
 )
 
 // benchBackend answers every request with a fixed body. It writes directly to the
@@ -49,31 +47,22 @@
 // another one, through both daemons.
 func BenchmarkSidecar(b *testing.B) {
 	logx.Disable()
-	f := &testFleet{
-		t: &testing.T{}, store: newFakeStore(), backends: make(map[string]*fakeBackend),
-		daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &logBuffer{},
-	}
-	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = server.Serve(l) }()
-	defer f.shutdown(server)
-	benchBackend(b, addressOf("m1", portBackend))
+	f := newTestFleet(b)
+	defer f.shutdown()
+	benchBackend(b, f.addressOf("m1", portBackend))
 	f.store.put("servers/i1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"a","zone":"muc","slots":200},"status":{"state":"ready"}}`,
-		addressOf("m1", portBackend)), false)
+		f.addressOf("m1", portBackend)), false)
 	f.store.put("servers/i2", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"b","zone":"muc","slots":200},"status":{"state":"ready"}}`,
-		addressOf("m2", portBackend)), false)
+		f.addressOf("m2", portBackend)), false)
 	f.store.put("op/config", strings.Replace(fmt.Sprintf(configFormat, 1, callerKey), `"rate-per-s":1000,"burst":1000`, `"rate-per-s":1000000,"burst":1000000`, 1), false)
-	f.start(l.Addr().String(), "m1", "a", "muc", addressOf("m1", portControl))
-	f.start(l.Addr().String(), "m2", "b", "muc", addressOf("m2", portControl))
+	f.start("m1", "a", "muc", f.addressOf("m1", portControl))
+	f.start("m2", "b", "muc", f.addressOf("m2", portControl))
 	time.Sleep(time.Second)
 	b.ReportAllocs()
 	b.ResetTimer()
 	b.SetParallelism(4)
 	b.RunParallel(func(pb *testing.PB) {
-		c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", addressOf("m2", portOutbound))
+		c, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", f.addressOf("m2", portOutbound))
 		if err != nil {
 			return
 		}
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -122,7 +122,7 @@
 	hold chan struct{}
 }
 
-func startBackend(t *testing.T, s *fakeStore, id, service, centre, address string) *fakeBackend {
+func startBackend(t testing.TB, s *fakeStore, id, service, centre, address string) *fakeBackend {
 	b := &fakeBackend{id: id, service: service, centre: centre, address: address, store: s, ran: make(map[string]int)}
 	b.start(t)
 	t.Cleanup(b.stop)
@@ -130,7 +130,7 @@
 	return b
 }
 
-func (b *fakeBackend) start(t *testing.T) {
+func (b *fakeBackend) start(t testing.TB) {
 	l, err := net.Listen("tcp", b.address)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/proxy_test.go
+++ b/internal/sidecar/proxy_test.go
@@ -16,7 +16,7 @@
 	silencedUpTo atomic.Int64
 }
 
-func startProxy(t *testing.T, from, to string) *proxy {
+func startProxy(t testing.TB, from, to string) *proxy {
 	l, err := net.Listen("tcp", from)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -27,10 +28,11 @@
 	"github.com/lycheehead/lycheehead/platform"
 )
 
-// The ports of the test machines, each of which has a loopback address of its own.
-// Tests of other packages use none of these ports.
+// The ports of the test machines, each of which has a loopback address of its own. They lie
+// below those of outgoing connections.
 const (
-	portOutbound = 28411 + iota
+	portStore = 28410 + iota
+	portOutbound
 	portInbound
 	portReady
 	portControl
@@ -54,15 +56,15 @@
 {"resource-type":"tenants","metadata":{"name":"kunde"},"spec":{"api-keys":[%q],"rate-per-s":1000,"burst":1000}},
 {"resource-type":"limits","metadata":{},"spec":{"max-body-bytes":1000000}}]}`
 
-// oddEntries are entries of other writers by kind.
+// oddEntries are entries of other writers by kind. HOST is the address of m1.
 var oddEntries = map[string]string{
 	"bytes":  "\xff\x00\xfe",
 	"nested": `{"address":` + strings.Repeat("[", 200_000),
-	"number": `{"address":"127.0.0.1:28415","born":1,"info":{"service":"a","zone":"muc","slots":9000000000000000000},"status":{"state":"ready"}}`,
-	"port":   `{"address":"127.0.0.1:99999","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
-	"zero":   `{"address":"127.0.0.1:0","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
-	"cold":   `{"address":"127.0.0.1:28415","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready","warmup-left-s":1e300}}`,
-	"future": `{"address":"127.0.0.1:28415","born":9000000000000000000,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+	"number": `{"address":"HOST:28415","born":1,"info":{"service":"a","zone":"muc","slots":9000000000000000000},"status":{"state":"ready"}}`,
+	"port":   `{"address":"HOST:99999","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+	"zero":   `{"address":"HOST:0","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
+	"cold":   `{"address":"HOST:28415","born":1,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready","warmup-left-s":1e300}}`,
+	"future": `{"address":"HOST:28415","born":9000000000000000000,"info":{"service":"a","zone":"muc","slots":2},"status":{"state":"ready"}}`,
 }
 
 // panickyDecoder panics on the item of a certain key.
@@ -88,7 +90,10 @@
 // testFleet is a number of daemons with their backend servers, and a store. The maps are
 // keyed by the name of the machine.
 type testFleet struct {
-	t        *testing.T
+	t testing.TB
+	// prefix is the part that the addresses of all machines have in common.
+	prefix   string
+	listener net.Listener
 	store    *fakeStore
 	backends map[string]*fakeBackend
 	daemons  map[string]*sidecar.Daemon
@@ -131,8 +136,36 @@
 	return b.text.String()
 }
 
-func addressOf(machine string, port int) string {
-	return net.JoinHostPort("127.0.0."+machine[1:], strconv.Itoa(port))
+// prefixAttempts is how many loopback networks are tried for a fleet.
+const prefixAttempts = 20
+
+// newTestFleet returns a fleet without machines whose store is running. The listener of the
+// store, which is open until the test ends, keeps other test processes away from the fleet's
+// addresses.
+func newTestFleet(t testing.TB) *testFleet {
+	f := &testFleet{
+		t: t, store: newFakeStore(), backends: make(map[string]*fakeBackend),
+		daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &logBuffer{},
+		grace: 4 * time.Second, pending: make(map[string]chan string),
+	}
+	var err error
+	for range prefixAttempts {
+		f.prefix = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(254), rand.IntN(256))
+		if f.listener, err = net.Listen("tcp", f.addressOf("m250", portStore)); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(f.listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return f
+}
+
+func (f *testFleet) addressOf(machine string, port int) string {
+	return net.JoinHostPort(f.prefix+machine[1:], strconv.Itoa(port))
 }
 
 // TestSidecar runs scripts against fleets of daemons in one process. The machines are
@@ -140,22 +173,12 @@
 func TestSidecar(t *testing.T) {
 	logx.Disable()
 	datadriven.Walk(t, "testdata/sidecar", func(t *testing.T, path string) {
-		f := &testFleet{
-			t: t, store: newFakeStore(), backends: make(map[string]*fakeBackend),
-			daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &logBuffer{},
-			grace: 4 * time.Second, pending: make(map[string]chan string),
-		}
-		server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		go func() { _ = server.Serve(l) }()
-		defer f.shutdown(server)
+		f := newTestFleet(t)
+		defer f.shutdown()
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
 			var out strings.Builder
 			for line := range strings.SplitSeq(d.Input, "\n") {
-				out.WriteString(f.runLine(l.Addr().String(), strings.Fields(line)))
+				out.WriteString(f.runLine(strings.Fields(line)))
 			}
 			return out.String()
 		})
@@ -165,7 +188,7 @@
 	})
 }
 
-func (f *testFleet) shutdown(store *http.Server) {
+func (f *testFleet) shutdown() {
 	if f.files > 0 {
 		f.limitFiles(false)
 	}
@@ -176,21 +199,20 @@
 		_ = d.Close()
 	}
 	f.stops.Wait()
-	_ = store.Close()
 }
 
 // runLine executes one line of a script.
-func (f *testFleet) runLine(store string, args []string) string {
+func (f *testFleet) runLine(args []string) string {
 	switch args[0] {
 	case "backend": // backend m1 service centre
-		f.backends[args[1]] = startBackend(f.t, f.store, "i"+args[1][1:], args[2], args[3], addressOf(args[1], portBackend))
+		f.backends[args[1]] = startBackend(f.t, f.store, "i"+args[1][1:], args[2], args[3], f.addressOf(args[1], portBackend))
 	case "daemon": // daemon m1 service centre [proxied]
-		control := addressOf(args[1], portControl)
+		control := f.addressOf(args[1], portControl)
 		if len(args) > 4 {
-			control = addressOf(args[1], portProxiedControl)
-			f.proxies[args[1]] = startProxy(f.t, addressOf(args[1], portControl), control)
+			control = f.addressOf(args[1], portProxiedControl)
+			f.proxies[args[1]] = startProxy(f.t, f.addressOf(args[1], portControl), control)
 		}
-		f.start(store, args[1], args[2], args[3], control)
+		f.start(args[1], args[2], args[3], control)
 	case "silence":
 		f.proxies[args[1]].silence()
 	case "config":
@@ -211,7 +233,7 @@
 	case "restart": // restart m1 service centre: kills the daemon and starts it again
 		_ = f.daemons[args[1]].Close()
 		f.restarted = true
-		f.start(store, args[1], args[2], args[3], addressOf(args[1], portControl))
+		f.start(args[1], args[2], args[3], f.addressOf(args[1], portControl))
 		time.Sleep(500 * time.Millisecond)
 	case "many": // many m1 path n key: sends n requests, 10 ms apart
 		n, _ := strconv.Atoi(args[3])
@@ -242,7 +264,7 @@
 	case "ready":
 		f.waitFor(func() bool {
 			for name := range f.daemons {
-				resp, err := http.Get("http://" + addressOf(name, portReady) + "/ready")
+				resp, err := http.Get("http://" + f.addressOf(name, portReady) + "/ready")
 				if err != nil {
 					return false
 				}
@@ -261,9 +283,9 @@
 		f.store.put("servers/i"+args[1][1:], "", true)
 		time.Sleep(1800 * time.Millisecond)
 	case "odd": // odd id kind: another writer puts an odd entry
-		f.store.put("servers/"+args[1], oddEntries[args[2]], false)
+		f.store.put("servers/"+args[1], strings.ReplaceAll(oddEntries[args[2]], "HOST", f.prefix+"1"), false)
 	case "control": // control m1 kind: sends a malformed control message
-		resp, err := http.Post("http://"+addressOf(args[1], portControl)+"/exchange", "", strings.NewReader(controlMessages[args[2]]))
+		resp, err := http.Post("http://"+f.addressOf(args[1], portControl)+"/exchange", "", strings.NewReader(controlMessages[args[2]]))
 		if err != nil {
 			return "no answer\n"
 		}
@@ -319,7 +341,7 @@
 		if len(args) > 2 {
 			port = portInbound
 		}
-		c, err := net.Dial("tcp", addressOf(args[1], port))
+		c, err := net.Dial("tcp", f.addressOf(args[1], port))
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -405,17 +427,17 @@
 	f.t.Fatal("daemons not ready within 6 s")
 }
 
-func (f *testFleet) start(store, name, service, centre, control string) {
+func (f *testFleet) start(name, service, centre, control string) {
 	s := schema.Sidecar_builder{
 		Name:     proto.String(name),
 		Service:  proto.String(service),
 		Centre:   proto.String(centre),
-		Backend:  proto.String(addressOf(name, portBackend)),
-		Outbound: proto.String(addressOf(name, portOutbound)),
-		Inbound:  proto.String(addressOf(name, portInbound)),
-		Ready:    proto.String(addressOf(name, portReady)),
+		Backend:  proto.String(f.addressOf(name, portBackend)),
+		Outbound: proto.String(f.addressOf(name, portOutbound)),
+		Inbound:  proto.String(f.addressOf(name, portInbound)),
+		Ready:    proto.String(f.addressOf(name, portReady)),
 		Control:  proto.String(control),
-		Store:    proto.String(store),
+		Store:    proto.String(f.listener.Addr().String()),
 		Bounds: schema.Bounds_builder{
 			Grace:       durationpb.New(f.grace),
 			RetryRatio:  proto.Float64(0.2),
@@ -428,7 +450,7 @@
 			ColdSlack:   proto.Float64(5),
 		}.Build(),
 	}.Build()
-	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(store), panickyDecoder{platform.NewDecoder()},
+	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(f.listener.Addr().String()), panickyDecoder{platform.NewDecoder()},
 		platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, logs.NewWriter(f.out), !f.restarted)
 	if err != nil {
@@ -450,7 +472,7 @@
 	if args[0] == "post" {
 		method, body = http.MethodPost, strings.NewReader(strings.Repeat("x", 50_000))
 	}
-	r, err := http.NewRequest(method, "http://"+addressOf(args[1], portOutbound)+args[2], body)
+	r, err := http.NewRequest(method, "http://"+f.addressOf(args[1], portOutbound)+args[2], body)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -517,7 +539,7 @@
 
 // metrics returns the lines of a daemon's metrics that begin with a text, sorted.
 func (f *testFleet) metrics(machine, text string) string {
-	resp, err := http.Get("http://" + addressOf(machine, portControl) + "/metrics")
+	resp, err := http.Get("http://" + f.addressOf(machine, portControl) + "/metrics")
 	if err != nil {
 		f.t.Fatal(err)
 	}
