Draw a loopback address for each test mesh

Each port of a mesh was drawn by itself from 20,000 and closed again, so that two of one mesh, or of two meshes, could be the same. TestMesh failed so once: "listen tcp 127.0.0.1:14360: bind: address already in use".

A mesh now draws one loopback address, numbers the ports there, and holds the address with the listener of its platform. Backend servers get such ports too, so that no outgoing connection takes their port while they are down.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -10,7 +10,7 @@
 	"fmt"
 	mrand "math/rand/v2"
 	"net"
-	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -31,27 +31,26 @@
 )
 
 const (
-	loopback = "127.0.0.1"
-	anyPort  = loopback + ":0"
 	// unreachableAddress refuses connections.
-	unreachableAddress = loopback + ":1"
-	// Ports are chosen from minPort up to, but not including, endPort.
-	minPort         = 10_000
-	endPort         = 30_000
-	maxPortAttempts = 100
+	unreachableAddress = "127.0.0.1:1"
+	// platformPort is the first port of a mesh. Its ports lie below those of outgoing
+	// connections.
+	platformPort = 28_500
+	// maxHostAttempts is how many loopback addresses are tried for a mesh.
+	maxHostAttempts = 20
 	pollInterval    = 10 * time.Millisecond
 	stopTimeout     = 5 * time.Second
 )
 
-var (
-	// ErrNotReady is returned if a daemon is not ready, or serves an older version, when
-	// the timeout expires.
-	ErrNotReady   = eris.New("timed out; the daemon is not ready or serves an older version")
-	errNoFreePort = eris.New("no free port found")
-)
+// ErrNotReady is returned if a daemon is not ready, or serves an older version, when the
+// timeout expires.
+var ErrNotReady = eris.New("timed out; the daemon is not ready or serves an older version")
 
-// Mesh is a stand-in platform and the slots of a mesh.
+// Mesh is a stand-in platform and the slots of a mesh. All of them listen on one loopback
+// address, which other meshes do not use while the platform listens on its port there.
 type Mesh struct {
+	host            string
+	lastPort        int
 	signer          ed25519.PrivateKey
 	authority       authority.KeyPair
 	platform        *standin.Platform
@@ -82,11 +81,21 @@
 		settleTimeout: time.Second,
 		logOutput:     &syncBuffer{},
 	}
-	m.platformAddress, m.stopPlatform, err = standin.Serve(anyPort, m.platform)
-	if err != nil {
-		return nil, fmt.Errorf("create mesh: %w", err)
+	for range maxHostAttempts {
+		m.host = fmt.Sprintf("127.%d.%d.%d", 1+mrand.IntN(254), mrand.IntN(256), 1+mrand.IntN(254))
+		m.lastPort = platformPort
+		m.platformAddress, m.stopPlatform, err = standin.Serve(net.JoinHostPort(m.host, strconv.Itoa(m.lastPort)), m.platform)
+		if err == nil {
+			return m, nil
+		}
 	}
-	return m, nil
+	return nil, fmt.Errorf("create mesh: %w", err)
+}
+
+// nextAddress returns an address that no other part of the mesh uses.
+func (m *Mesh) nextAddress() string {
+	m.lastPort++
+	return net.JoinHostPort(m.host, strconv.Itoa(m.lastPort))
 }
 
 // SetPolicies sets the policies of the daemons that are started later.
@@ -163,14 +172,10 @@
 func (m *Mesh) AddSlot(name, service, centre string, model standin.BackendModel) (*Slot, error) {
 	s := &Slot{mesh: m, name: name, service: service, centre: centre}
 	for _, field := range []*string{&s.callerAddress, &s.localAddress, &s.peerAddress} {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, fmt.Errorf("add slot: %w", err)
-		}
-		*field = address
+		*field = m.nextAddress()
 	}
 	s.backend = standin.NewBackend(model.WithLocalDaemon(s.localAddress))
-	address, err := s.backend.Start(anyPort)
+	address, err := s.backend.Start(m.nextAddress())
 	if err != nil {
 		return nil, fmt.Errorf("add slot: %w", err)
 	}
@@ -179,26 +184,6 @@
 	return s, nil
 }
 
-// freeAddress returns an address whose port is free for TCP and UDP. The port is below the
-// ephemeral ports, so that an outgoing connection does not take it before it is used.
-func freeAddress() (string, error) {
-	for range maxPortAttempts {
-		port := uint16(minPort + mrand.IntN(endPort-minPort))
-		address := netip.AddrPortFrom(netip.MustParseAddr(loopback), port)
-		tcp, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue
-		}
-		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-		_ = tcp.Close()
-		if err == nil {
-			_ = udp.Close()
-			return address.String(), nil
-		}
-	}
-	return "", errNoFreePort
-}
-
 // Publish signs a bundle and publishes it.
 func (m *Mesh) Publish(b *schema.Bundle) error {
 	r, err := bundle.Sign(b, m.signer)
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -92,6 +92,8 @@
 		return r.load(t, d)
 	case "busy":
 		return r.probeCentre(t, d)
+	case "addresses":
+		return shareAddresses(t, d)
 	}
 	t.Fatalf("unknown command %q", d.Cmd)
 	return ""
@@ -130,6 +132,33 @@
 	return "ok\n"
 }
 
+// shareAddresses adds slots to several meshes at once, and returns the number of addresses for
+// callers that more than one slot has.
+func shareAddresses(t *testing.T, d *datadriven.TestData) string {
+	var meshes, slots int
+	d.ScanArgs(t, "meshes", &meshes)
+	d.ScanArgs(t, "slots", &slots)
+	seen, shared := make(map[string]bool), 0
+	for range meshes {
+		m, err := mesh.New(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer m.Close()
+		for n := range slots {
+			s, err := m.AddSlot(fmt.Sprint("s", n), "a", "muc", standin.NewBackendModel(1, 1, 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if seen[s.CallerAddress()] {
+				shared++
+			}
+			seen[s.CallerAddress()] = true
+		}
+	}
+	return fmt.Sprintf("%d shared\n", shared)
+}
+
 // publish signs and publishes a version, and waits until it is in force everywhere. Each
 // line of the input is a customer "customer name rate burst" or a route "route prefix
 // service [open] [keyed]". Without input, the customers and routes of the previous version
