Refuse requests of `run` whose body is still arriving as a planned stop ends

A caller whose request was accepted before a stop of `run`, and whose body of up to 64 KiB came slowly, got no answer: the connection ended with the process. A larger body that is being passed on ends then, too: its caller gets an outcome, which may be unknown, instead of none.

The script mesh/ending gave 'no answer' three times, with and without other requests that run until the end; all three are 503 not-run now. The contexts of a stop have one cause for their end, whichever clock ended them, as the error of a stop says it.

--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -63,6 +63,7 @@
 		h.writeRefusal(w, http.StatusBadRequest, caller.OutcomeNotRun, caller.ReasonBadRequest)
 		return
 	}
+	defer h.daemon.Bodies().Limit(w)()
 	resp := h.daemon.Serve(r.Context(), c)
 	if resp.Body() == nil {
 		if delay := resp.RetryAfter(); delay > 0 {
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -13,6 +13,7 @@
 	"github.com/lycheehead/lycheehead/internal/bundle"
 	"github.com/lycheehead/lycheehead/internal/peerquic"
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/internal/stop"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/platform"
 	"github.com/lycheehead/lycheehead/pkg/workers"
@@ -33,7 +34,9 @@
 	mesh     *peerquic.Mesh
 	baseCtx  context.Context
 	stopping atomic.Bool
-	tasks    tasks
+	// bodies refuses requests whose body is still arriving as a planned stop ends.
+	bodies *stop.Bodies
+	tasks  tasks
 }
 
 // config returns the configuration in force, or nil before the first version.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,6 +98,7 @@
 		mesh:     mesh,
 		baseCtx:  baseCtx,
 		tasks:    tasks{group: workers.NewGroup()},
+		bodies:   stop.NewBodies(),
 	}
 	d := &Daemon{
 		core:    c,
@@ -222,6 +223,9 @@
 	return !d.core.stopping.Load() && d.feed.ready(time.Now())
 }
 
+// Bodies returns what ends the reading of request bodies in a planned stop.
+func (d *Daemon) Bodies() *stop.Bodies { return d.core.bodies }
+
 // Stopping reports whether a planned stop has begun.
 func (d *Daemon) Stopping() bool { return d.core.stopping.Load() }
 
@@ -232,12 +236,13 @@
 // refused as not run, one peer is notified by gossip, and the requests that the backend server was
 // given continue, with the calls that they make. Once none of them is running, or the last
 // response is due, the other daemons are asked to close their connections, and the servers are
-// shut down. The time limit counts from the signal to stop, which the process handles now. The
+// shut down. Bodies that are still arriving as the last response is due are refused. The time limit counts from the signal to stop, which the process handles now. The
 // error wraps ErrCallsRunning if calls were still running when the last response was due.
 func (d *Daemon) Stop(limit time.Duration, servers []http1.Server) error {
 	plan := stop.NewPlan(d.monitor, limit)
 	last, cancelLast := d.monitor.WithDeadline(context.Background(), plan.Last())
 	defer cancelLast()
+	defer context.AfterFunc(last, d.core.bodies.Refuse)()
 	exit, cancelExit := d.monitor.WithDeadline(context.Background(), plan.Exit())
 	defer cancelExit()
 	d.core.stopping.Store(true)
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -184,7 +184,10 @@
 // dispatches the request.
 func (in *ingress) run(ctx context.Context, cfg *platform.Config, dec decision, c *Call) *Response {
 	body, err := readPayload(c.body, c.length)
-	if err != nil {
+	switch {
+	case err != nil && in.bodies.Refused():
+		return refusedResponse(caller.ReasonLeaving)
+	case err != nil:
 		return refusedResponse(caller.ReasonBadRequest)
 	}
 	dec.work.length = body.length
--- a/internal/mesh/call_test.go
+++ b/internal/mesh/call_test.go
@@ -16,6 +16,9 @@
 	"github.com/lycheehead/lycheehead/internal/standin"
 )
 
+// stalledTimeout is how long a client keeps a request open without sending its body.
+const stalledTimeout = 8 * time.Second
+
 // call sends one request to a daemon. It prints the status, the outcome, and either the
 // reason or, if a backend server responded, the customer for whom the request ran, and whether
 // the response ends the connection. The
@@ -57,7 +60,8 @@
 	}
 	if d.HasArg("stalled") {
 		r, w := io.Pipe()
-		t.Cleanup(func() { _ = w.Close() })
+		// The client waits for its body even if its connection has been closed.
+		time.AfterFunc(stalledTimeout, func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) })
 		req.Body = r
 	}
 	req.Header.Set(standin.RequestIDHeader, d.Pos)
--- a/internal/suspend/monitor.go
+++ b/internal/suspend/monitor.go
@@ -47,11 +47,12 @@
 func (m *Monitor) Now() time.Time { return m.Clock(time.Now()) }
 
 // WithDeadline returns a context that ends at a time by the clock that advances while the
-// machine is suspended.
+// machine is suspended, with the cause context.DeadlineExceeded.
 func (m *Monitor) WithDeadline(parent context.Context, end time.Time) (context.Context, context.CancelFunc) {
+	parent, expire := context.WithCancelCause(parent)
 	ctx, cancel := context.WithDeadline(parent, end.Add(-m.suspended()))
 	go func() {
-		defer cancel()
+		defer expire(context.DeadlineExceeded)
 		t := time.NewTicker(deadlineInterval)
 		defer t.Stop()
 		for m.Now().Before(end) {
