Let a long upload begin only once its sender is committed

What callers saw: a machine froze while uploads over 1 MiB, or of unknown length, were on their way to it. The sending daemon gave them up as not run and sent them elsewhere, or told its callers 503 where there was nothing else. When the machine woke up, its daemon sent them to its backend server: they ran twice (TWICE), or after a promise that they would not (REFUSED).

Cause: the sender counted such a request as not run until it was asked for the body, but the receiver sent the head to its backend server first and asked for the body then. A pause between the two has any length.

Change: pkg/handover holds what both ends must agree on. The sender commits (Offer) before the first byte of a withheld body, and one that has withdrawn does not commit. The receiver begins (Receipt) when it has that byte, or the whole body up to 1 MiB. Both daemons use it; run kept the rule already.

Related paths: - a refusal may now come behind the ask, when a part of a streamed body has been taken from its source. What is left is not sent elsewhere (RetryState.RecordBodySent), and the receiver connects to its backend server before it asks, so that another one still gets the whole body; - a ping that failed just after the commitment ended a request that can't be sent elsewhere. It now ends one that runs at most once only if that can be withdrawn.

Cost: the head of an upload over 1 MiB reaches the backend server one round trip between daemons later. Other requests go as before.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
-	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lycheehead/lycheehead/internal/peerquic"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/platform"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 	"github.com/lycheehead/lycheehead/pkg/workers"
@@ -22,6 +24,8 @@
 	probeTimeout = 600 * time.Millisecond
 )
 
+var errWithdrawn = eris.New("request was given up")
+
 // reply is the result of sending work to an egress, in this or in another daemon. body
 // is nil unless the backend server responded.
 type reply struct {
@@ -191,8 +195,7 @@
 	name    string
 	stream  *peerquic.Stream
 	release func()
-	// sending is set before the first byte of a deferred body is written.
-	sending atomic.Bool
+	offer   handover.Offer
 }
 
 // run sends the body and reads the reply.
@@ -204,9 +207,7 @@
 		stop()
 		e.stream.Abort()
 		e.release()
-		// An egress does not run a request before it has the first byte of a deferred body.
-		// None is sent once the stream has been aborted.
-		if errors.Is(err, peerquic.ErrUnreachable) || w.deferBody && !e.sending.Load() {
+		if errors.Is(err, peerquic.ErrUnreachable) || w.deferBody && e.offer.Withdraw() {
 			return e.failedReply(ctx, caller.OutcomeNotRun, caller.ReasonNoBackend)
 		}
 		return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonResponseLost)
@@ -252,7 +253,9 @@
 
 // Write implements io.Writer.
 func (w bodyWriter) Write(p []byte) (int, error) {
-	w.sending.Store(true)
+	if !w.offer.Commit() {
+		return 0, errWithdrawn
+	}
 	return w.stream.Write(p)
 }
 
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -17,6 +17,7 @@
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/platform"
 	"github.com/lycheehead/lycheehead/pkg/table"
@@ -157,7 +158,7 @@
 		e.gate.Done(time.Now(), a.ticket, backend.Cancelled)
 		return notRunReply(caller.ReasonDeadlineExceeded)
 	}
-	if w.deferBody {
+	if receipt := handover.NewReceipt[handover.FirstByte](w.deferBody); !receipt.MayBegin() {
 		body, err = awaitBody(body, admitted)
 		if err != nil {
 			e.gate.Done(time.Now(), a.ticket, backend.Cancelled)
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -58,8 +58,9 @@
 }
 
 // Do sends a request at most once and returns the complete response. When ctx ends, it
-// gives up. Every error wraps ErrNotSent, ErrBodyNotRequested or ErrResponseLost. The
-// server may have executed the request only if the error wraps neither of the first two.
+// gives up. Every error wraps ErrNotSent, ErrBodyNotRequested or ErrResponseLost. With
+// ErrNotSent the server has not executed the request, and with ErrBodyNotRequested neither has
+// a server that waits for the body.
 // If ctx has ended, the error also wraps its cause.
 func (c *Client) Do(ctx context.Context, r *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -40,12 +40,14 @@
 }
 
 // scriptedServer handles each request as its script says. A script consists of names of
-// canned responses and may end with close, reset or silence. The word copy stands for the
+// canned responses and may end with close, reset, silence or read. The word copy stands for the
 // last refusal that the server sent on the connection, if any.
 type scriptedServer struct {
 	listener net.Listener
 	script   chan string
 	seen     chan string
+	// received describes what the server reads after a response.
+	received chan string
 	// cut is the number of bytes of each canned response that are sent, zero for all.
 	cut atomic.Int64
 	// last is the connection that was accepted last.
@@ -57,7 +59,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedServer{listener: l, script: make(chan string, 16), seen: make(chan string, 16)}
+	s := &scriptedServer{listener: l, script: make(chan string, 16), seen: make(chan string, 16), received: make(chan string, 16)}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for n := 1; ; n++ {
@@ -96,6 +98,10 @@
 			case "reset":
 				_ = c.(*net.TCPConn).SetLinger(0)
 				return
+			case "read":
+				n, _ := c.Read(buf)
+				s.received <- fmt.Sprintf("received %q", buf[:n])
+				return
 			case "silence":
 				_, _ = c.Read(buf)
 				return
@@ -129,7 +135,9 @@
 
 // TestClient sends requests to a scripted server. Each line of the input is a request
 // and what the server does with it. A request with the prefix "late-" is sent on a connection
-// that the server resets after the client has chosen it and before the client writes.
+// that the server resets after the client has chosen it and before the client writes. One with
+// the prefix "withdrawn-" is given up before it is committed; "read" is what the server then
+// receives after its canned responses.
 func TestClient(t *testing.T) {
 	datadriven.RunTest(t, "testdata/client", func(t *testing.T, d *datadriven.TestData) string {
 		s := newScriptedServer(t)
@@ -149,13 +157,23 @@
 			s.script <- script
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			verb, late := strings.CutPrefix(verb, "late-")
+			verb, withdrawn := strings.CutPrefix(verb, "withdrawn-")
 			req := newRequest(verb)
+			if withdrawn {
+				req.SetOnCommit(func() bool { return false })
+			}
 			if late {
-				req.SetOnCommit(sync.OnceFunc(s.resetLast))
+				req.SetOnCommit(sync.OnceValue(func() bool {
+					s.resetLast()
+					return true
+				}))
 			}
 			resp, err := c.Do(ctx, req)
 			cancel()
 			fmt.Fprintf(&out, "%s: %s\n", line, formatResult(resp, err))
+			if strings.HasSuffix(script, " read") {
+				fmt.Fprintf(&out, "  %s\n", <-s.received)
+			}
 			for len(s.seen) > 0 {
 				fmt.Fprintf(&out, "  %s\n", <-s.seen)
 			}
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -107,8 +107,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.requests++
-	if !r.expectContinue || !r.hasBody() {
-		r.commit()
+	withheld := r.expectContinue && r.hasBody()
+	if !withheld && !r.commit() {
+		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, errNotCommitted)
 	}
 	before := c.written.n
 	if err := c.sendHead(r); err != nil {
@@ -118,7 +119,7 @@
 		return nil, false, fmt.Errorf("%w: %w", ErrResponseLost, err)
 	}
 	bodySent := make(chan error, 1)
-	if r.expectContinue && r.hasBody() {
+	if withheld {
 		resp, err := c.awaitContinue(r)
 		if err != nil {
 			// The server cannot have executed the request without its body.
@@ -127,7 +128,9 @@
 		if resp != nil {
 			return resp, false, nil
 		}
-		r.commit()
+		if !r.commit() {
+			return nil, false, fmt.Errorf("%w: %w", ErrBodyNotRequested, errNotCommitted)
+		}
 	}
 	small := r.rest == nil && len(r.prefix) <= bufferBytes
 	if r.hasBody() && !small {
--- a/internal/http1/errors.go
+++ b/internal/http1/errors.go
@@ -5,9 +5,9 @@
 var (
 	// ErrNotSent means that no part of the request was sent.
 	ErrNotSent = eris.New("request was not sent")
-	// ErrBodyNotRequested means that the connection failed before the server
-	// asked for the body, without which it cannot execute the request. Such an
-	// error may also wrap ErrResponseLost, so test for this one first.
+	// ErrBodyNotRequested means that no part of the body was sent, because the
+	// connection failed before the server asked for it, or the request was given up.
+	// Such an error may also wrap ErrResponseLost, so test for this one first.
 	ErrBodyNotRequested = eris.New("server did not ask for the request body")
 	// ErrResponseLost means that the connection failed after a part of the request
 	// was sent and before the response was complete.
@@ -22,4 +22,6 @@
 	// the budget for responses, or the memory that is left for bodies. An error of
 	// Client.Do that wraps it also wraps ErrResponseLost.
 	ErrBodyTooLarge = eris.New("body too large")
+
+	errNotCommitted = eris.New("request was given up")
 )
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -20,7 +20,7 @@
 	rest           io.Reader
 	length         int64
 	expectContinue bool
-	onCommit       func()
+	onCommit       func() bool
 	freshConnOnly  bool
 	match          func(http.Header) Match
 	onSkip         func(status int, h http.Header)
@@ -61,8 +61,8 @@
 
 // SetOnCommit sets a function that is called before the request reaches the point
 // from which the server may execute it: before the body is sent if the body is
-// withheld, else before the head.
-func (r *Request) SetOnCommit(onCommit func()) { r.onCommit = onCommit }
+// withheld, else before the head. If it returns false, nothing further is sent.
+func (r *Request) SetOnCommit(onCommit func() bool) { r.onCommit = onCommit }
 
 // SetFreshConnOnly restricts the request to a new or recently used connection, as the
 // server may have closed an idle one without the client having noticed yet.
@@ -116,11 +116,7 @@
 }
 
 // commit calls the function set with SetOnCommit.
-func (r *Request) commit() {
-	if r.onCommit != nil {
-		r.onCommit()
-	}
-}
+func (r *Request) commit() bool { return r.onCommit == nil || r.onCommit() }
 
 // writeBody writes the body. It returns ErrRequestBody if reading the body failed.
 func (r *Request) writeBody(w *bufio.Writer) error {
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -207,7 +208,10 @@
 // run sends an admitted request. The process may have been suspended while the request
 // was queued, so the instance, the context and the deadline are checked again.
 func (a *admission) run(ctx context.Context, req *request, decision queueDecision) *result {
-	if err := req.body.readRest(time.Now(), a.budget); err != nil {
+	if err := a.connectFirst(ctx, &req.body); err != nil {
+		return a.handleSendError(ctx, time.Now(), req, decision.entry, err)
+	}
+	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), a.budget); err != nil {
 		a.queue.Done(time.Now(), decision.entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "reading request body failed", req.id, "error", err.Error())
 		if errors.Is(err, http1.ErrBodyTooLarge) {
@@ -221,6 +225,8 @@
 	switch {
 	case ctx.Err() != nil:
 		reason = contextReason(ctx)
+	case !req.body.receipt.MayBegin():
+		reason = caller.ReasonCancelled
 	case remaining <= 0:
 		reason = caller.ReasonDeadlineExceeded
 	}
@@ -244,6 +250,18 @@
 	return r
 }
 
+// connectFirst makes sure that the backend server can be reached before a body is asked for
+// that can't be sent to another one afterwards.
+func (a *admission) connectFirst(ctx context.Context, b *body) error {
+	if b.receipt.MayBegin() || b.bufferable() || a.client.HasOpenConn() {
+		return nil
+	}
+	if err := a.client.Connect(ctx); err != nil {
+		return fmt.Errorf("%w: %w", http1.ErrNotSent, err)
+	}
+	return nil
+}
+
 // send sends a request to the backend server and interprets the response.
 func (a *admission) send(ctx context.Context, req *request, id string, remaining time.Duration, entry *backend.Entry) *result {
 	h := req.header.Clone()
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -149,6 +149,11 @@
 
 // ServeHTTP implements http.Handler.
 func (b *fakeBackend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	if b.fault == "early" && r.URL.Path != "/health" {
+		b.seen = append(b.seen, "begins "+r.Method+" "+r.RequestURI)
+	}
+	b.mu.Unlock()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/sidecar/held_proxy_test.go
@@ -0,0 +1,108 @@
+package sidecar_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// lateEnd is how long after its bytes the end of a connection arrives behind a heldProxy.
+const lateEnd = 400 * time.Millisecond
+
+// heldProxy forwards connections between daemons and can hold what they send, as a link or a
+// machine that stands still does.
+type heldProxy struct {
+	mu sync.Mutex
+	// held is what is held: requests, answers, bodies (what follows the first answer), or "".
+	held string
+	// released is closed once nothing is held any more.
+	released chan struct{}
+}
+
+func startHeldProxy(t *testing.T, from, to string) *heldProxy {
+	l, err := net.Listen("tcp", from)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	p := &heldProxy{released: make(chan struct{})}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.forward(c, to)
+		}
+	}()
+	return p
+}
+
+// hold holds what is sent from now on.
+func (p *heldProxy) hold(what string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = what
+}
+
+// release sends what was held.
+func (p *heldProxy) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = ""
+	close(p.released)
+	p.released = make(chan struct{})
+}
+
+// await returns once what is not held.
+func (p *heldProxy) await(what string) {
+	p.mu.Lock()
+	held, released := p.held == what, p.released
+	p.mu.Unlock()
+	if held {
+		<-released
+	}
+}
+
+func (p *heldProxy) forward(c net.Conn, to string) {
+	defer func() { _ = c.Close() }()
+	d, err := net.Dial("tcp", to)
+	if err != nil {
+		return
+	}
+	defer func() { _ = d.Close() }()
+	answered := make(chan struct{})
+	go func() {
+		p.copy(d, c, func() {
+			p.await("requests")
+			select {
+			case <-answered:
+				p.await("bodies")
+			default:
+			}
+		})
+		time.Sleep(lateEnd)
+		_ = d.(*net.TCPConn).CloseWrite()
+	}()
+	once := sync.OnceFunc(func() { close(answered) })
+	p.copy(c, d, func() {
+		p.await("answers")
+		once()
+	})
+}
+
+// copy forwards in one direction until its end. It calls await before it writes.
+func (p *heldProxy) copy(to, from net.Conn, await func()) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		await()
+		if err != nil {
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -10,6 +10,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 )
 
 // maxInlineBody is the size in bytes up to which a body is sent together with the
@@ -62,7 +63,8 @@
 		return body{prefix: data, length: r.ContentLength}, err
 	}
 	control := http.NewResponseController(w)
-	return body{rest: r.Body, length: r.ContentLength, setReadDeadline: func(until time.Time) error {
+	receipt := handover.NewReceipt[handover.FirstByte](r.Header.Get("Expect") != "")
+	return body{rest: r.Body, length: r.ContentLength, receipt: receipt, setReadDeadline: func(until time.Time) error {
 		if err := control.SetReadDeadline(until); err != nil {
 			return fmt.Errorf("set body read deadline: %w", err)
 		}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -11,6 +11,7 @@
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
@@ -38,6 +39,10 @@
 	return upstream.NewRequest(r.route, max(int(r.body.length), len(r.body.prefix)), time.Until(r.objective))
 }
 
+// startBytes is the number of bytes of a larger body that are read before the request is sent
+// to the backend server. One is enough to know that the sender is committed.
+const startBytes = 4 << 10
+
 // body is a request's body, of which a prefix is buffered.
 type body struct {
 	prefix []byte
@@ -50,15 +55,47 @@
 	// setReadDeadline, if set, limits the time until which rest can be read. The zero
 	// time removes the limit.
 	setReadDeadline func(until time.Time) error
+	// receipt states whether the sender of the request is known to be committed. It always is
+	// in the sender's own daemon.
+	receipt handover.Receipt[handover.FirstByte]
 }
 
 // readRest reads the rest of a body that is small enough to be buffered. The sender may
 // disconnect before it has sent the whole body, and a truncated one must not be sent to a
-// backend server.
-func (b *body) readRest(now time.Time, budget *http1.Budget) error {
-	if b.replayable() || b.length < 0 || b.length > maxBufferedBody {
+// backend server. Of a larger body that the sender withholds, readRest reads the start, until
+// the deadline of the request at the latest.
+func (b *body) readRest(now, deadline time.Time, budget *http1.Budget) error {
+	switch {
+	case b.replayable():
+		return nil
+	case b.bufferable():
+		return b.readWhole(now, budget)
+	case b.receipt.MayBegin():
 		return nil
 	}
+	return b.readStart(deadline)
+}
+
+// bufferable reports whether the length of the body is known and small enough to buffer it.
+func (b *body) bufferable() bool { return b.length >= 0 && b.length <= maxBufferedBody }
+
+// readStart reads the start of a body.
+func (b *body) readStart(deadline time.Time) error {
+	if err := b.setReadDeadline(deadline); err != nil {
+		return err
+	}
+	data := make([]byte, startBytes)
+	n, err := io.ReadAtLeast(b.rest, data, 1)
+	if err != nil {
+		return fmt.Errorf("read start of body: %w", err)
+	}
+	b.receipt.RecordBody()
+	b.prefix = data[:n]
+	return b.setReadDeadline(time.Time{})
+}
+
+// readWhole reads the rest of a body.
+func (b *body) readWhole(now time.Time, budget *http1.Budget) error {
 	lease, err := budget.Lease(b.length)
 	if err != nil {
 		return fmt.Errorf("read body: %w", err)
@@ -74,6 +111,7 @@
 	if _, err := io.ReadFull(b.rest, data[n:]); err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
+	b.receipt.RecordBody()
 	b.prefix, b.rest = data, nil
 	if b.setReadDeadline != nil {
 		return b.setReadDeadline(time.Time{})
@@ -104,6 +142,8 @@
 	waited time.Duration
 	// instance is the id of the instance according to its daemon.
 	instance string
+	// bodySent states that a part of the request's body may have been sent to another daemon.
+	bodySent bool
 	// err is the error of a request to another daemon that got no response.
 	err error
 }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -12,6 +12,7 @@
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 	"github.com/lycheehead/lycheehead/pkg/workers"
 )
@@ -165,20 +166,34 @@
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	pingTimer := time.AfterFunc(pingDelay(placement.ExpectedLatency()), func() { s.events.protect(func() { s.pingDaemon(ctx, ip, cancel) }) })
+	offer := &handover.Offer{}
+	// A request that runs once can't be sent elsewhere once it is committed, even if the daemon
+	// stops responding.
+	mayGiveUp := func() bool { return !req.atMostOnce || offer.Withdraw() }
+	pingTimer := time.AfterFunc(pingDelay(placement.ExpectedLatency()), func() { s.events.protect(func() { s.pingDaemon(ctx, ip, mayGiveUp, cancel) }) })
 	defer pingTimer.Stop()
+	httpReq.SetOnCommit(func() bool {
+		if req.atMostOnce {
+			pingTimer.Stop()
+		}
+		return offer.Commit()
+	})
 	if !req.body.replayable() || len(req.body.prefix) > maxInlineBody || req.atMostOnce {
 		httpReq.SetExpectContinue()
 	}
 	if req.atMostOnce {
 		httpReq.SetFreshConnOnly()
-		// Once committed, the request can't be sent elsewhere, even if the daemon stops
-		// responding.
-		httpReq.SetOnCommit(func() { pingTimer.Stop() })
 	}
 	resp, err := s.peers.client(ip).Do(ctx, httpReq)
+	r := s.remoteResult(ctx, resp, err, offer)
+	r.bodySent = offer.Committed()
+	return r
+}
+
+// remoteResult returns the result of a request that was sent to the daemon of an instance.
+func (s *sender) remoteResult(ctx context.Context, resp *http1.Response, err error, offer *handover.Offer) *result {
 	if err != nil {
-		return errorResult(ctx, err)
+		return errorResult(ctx, err, offer)
 	}
 	report := &schema.HopReport{}
 	if err := extractMessage(resp.Header(), reportHeader, report); err != nil {
@@ -200,14 +215,14 @@
 }
 
 // pingDaemon pings a daemon that has not responded to a request yet, and cancels the
-// request if two pings fail.
-func (s *sender) pingDaemon(ctx context.Context, ip string, cancel context.CancelCauseFunc) {
+// request if two pings fail and the request may be given up.
+func (s *sender) pingDaemon(ctx context.Context, ip string, mayGiveUp func() bool, cancel context.CancelCauseFunc) {
 	for range 2 {
 		if err := s.peers.ping(ctx, ip); err == nil || localShortage(err) {
 			return
 		}
 	}
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && mayGiveUp() {
 		s.events.stateChange("daemon unresponsive", "ip", ip)
 		cancel(errDaemonUnresponsive)
 	}
@@ -215,12 +230,12 @@
 
 // errorResult returns the result of a request for which the daemon of an instance
 // returned no response.
-func errorResult(ctx context.Context, err error) *result {
+func errorResult(ctx context.Context, err error, offer *handover.Offer) *result {
 	r := &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, daemonUnreachable: !localShortage(err), err: err}
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDaemonUnresponsive) {
 		r.reason, r.daemonUnreachable = contextReason(ctx), false
 	}
-	if errors.Is(err, http1.ErrNotSent) || errors.Is(err, http1.ErrBodyNotRequested) {
+	if errors.Is(err, http1.ErrNotSent) || offer.Withdraw() {
 		r.outcome = caller.OutcomeNotRun
 		if r.reason == caller.ReasonResponseLost {
 			r.reason = caller.ReasonNoBackend
@@ -231,6 +246,9 @@
 
 func (state *sendState) addResult(instance string, r *result) {
 	state.Record(instance, r.attempt())
+	if r.bodySent {
+		state.RecordBodySent()
+	}
 	state.last = r
 	if r.outcome == caller.OutcomeRan {
 		if state.failedResponse != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -37,6 +37,8 @@
 	portBackend
 	// portProxiedControl is the control port of a daemon behind a proxy.
 	portProxiedControl
+	// portHeldInbound is the inbound port of a daemon behind a heldProxy.
+	portHeldInbound
 )
 
 const callerKey = "the-callers-secret-key"
@@ -93,6 +95,7 @@
 	backends map[string]*fakeBackend
 	daemons  map[string]*sidecar.Daemon
 	proxies  map[string]*proxy
+	held     map[string]*heldProxy
 	out      *logBuffer
 	// requests is the number of requests sent so far.
 	requests int
@@ -142,7 +145,7 @@
 	datadriven.Walk(t, "testdata/sidecar", func(t *testing.T, path string) {
 		f := &testFleet{
 			t: t, store: newFakeStore(), backends: make(map[string]*fakeBackend),
-			daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), out: &logBuffer{},
+			daemons: make(map[string]*sidecar.Daemon), proxies: make(map[string]*proxy), held: make(map[string]*heldProxy), out: &logBuffer{},
 			grace: 4 * time.Second, pending: make(map[string]chan string),
 		}
 		server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
@@ -184,13 +187,23 @@
 	switch args[0] {
 	case "backend": // backend m1 service centre
 		f.backends[args[1]] = startBackend(f.t, f.store, "i"+args[1][1:], args[2], args[3], addressOf(args[1], portBackend))
-	case "daemon": // daemon m1 service centre [proxied]
+	case "daemon": // daemon m1 service centre [proxied|held]
 		control := addressOf(args[1], portControl)
-		if len(args) > 4 {
+		switch {
+		case len(args) > 4 && args[4] == "held":
+			f.held[args[1]] = startHeldProxy(f.t, addressOf(args[1], portInbound), addressOf(args[1], portHeldInbound))
+		case len(args) > 4:
 			control = addressOf(args[1], portProxiedControl)
 			f.proxies[args[1]] = startProxy(f.t, addressOf(args[1], portControl), control)
 		}
 		f.start(store, args[1], args[2], args[3], control)
+	case "hold": // hold m1 requests|answers|bodies: holds what is sent between m1 and other daemons
+		f.held[args[1]].hold(args[2])
+	case "release":
+		f.held[args[1]].release()
+	case "uploads": // uploads n: configuration n, with bodies of up to 10 MB
+		n, _ := strconv.Atoi(args[1])
+		f.store.put("op/config", strings.ReplaceAll(fmt.Sprintf(configFormat, n, callerKey), `"max-body-bytes":1000000`, `"max-body-bytes":10000000`), false)
 	case "silence":
 		f.proxies[args[1]].silence()
 	case "config":
@@ -303,7 +316,7 @@
 		f.limitFiles(args[1] == "none")
 	case "grace": // grace 6s: the grace time of the daemons that are started from now on
 		f.grace = f.duration(args[1])
-	case "get", "post":
+	case "get", "post", "upload", "chunked":
 		return f.request(args) + "\n"
 	case "again": // again get|post ...: sends a request with the id of the last one
 		f.requests--
@@ -406,13 +419,17 @@
 }
 
 func (f *testFleet) start(store, name, service, centre, control string) {
+	inbound := addressOf(name, portInbound)
+	if f.held[name] != nil {
+		inbound = addressOf(name, portHeldInbound)
+	}
 	s := schema.Sidecar_builder{
 		Name:     proto.String(name),
 		Service:  proto.String(service),
 		Centre:   proto.String(centre),
 		Backend:  proto.String(addressOf(name, portBackend)),
 		Outbound: proto.String(addressOf(name, portOutbound)),
-		Inbound:  proto.String(addressOf(name, portInbound)),
+		Inbound:  proto.String(inbound),
 		Ready:    proto.String(addressOf(name, portReady)),
 		Control:  proto.String(control),
 		Store:    proto.String(store),
@@ -440,15 +457,20 @@
 	f.daemons[name] = d
 }
 
-// request sends a request and formats the response. args are get|post, the machine, the
-// path, and optionally an API key or nokey.
+// request sends a request and formats the response. args are get|post|upload|chunked, the
+// machine, the path, and optionally an API key or nokey.
 func (f *testFleet) request(args []string) string { return f.send(f.newRequest(args)) }
 
 func (f *testFleet) newRequest(args []string) *http.Request {
 	f.requests++
 	method, body := http.MethodGet, io.Reader(nil)
-	if args[0] == "post" {
+	switch args[0] {
+	case "post":
 		method, body = http.MethodPost, strings.NewReader(strings.Repeat("x", 50_000))
+	case "upload":
+		method, body = http.MethodPost, strings.NewReader(strings.Repeat("x", 2<<20))
+	case "chunked":
+		method, body = http.MethodPost, io.MultiReader(strings.NewReader(strings.Repeat("x", 2<<20)))
 	}
 	r, err := http.NewRequest(method, "http://"+addressOf(args[1], portOutbound)+args[2], body)
 	if err != nil {
--- a/pkg/upstream/retry.go
+++ b/pkg/upstream/retry.go
@@ -45,6 +45,8 @@
 	maxRefusals int
 	maxSends    int
 	tried       []string
+	// bodySent is set once the body, or a part of it, may have been read to be sent.
+	bodySent bool
 	// sends counts the attempts that reached a backend server, or may have.
 	sends int
 	// mayHaveRun is set once an instance ran the request or may have run it, and
@@ -92,7 +94,7 @@
 
 func (s *RetryState) allowed(now, deadline time.Time) (allowed, resend bool) {
 	switch {
-	case s.final():
+	case s.final(), s.bodySent && !s.replayable:
 		return false, false
 	case s.sends == 0:
 		return true, false
@@ -145,6 +147,10 @@
 	}
 }
 
+// RecordBodySent records that a part of the body may have been sent, so that a body that is
+// not replayable is no longer available.
+func (s *RetryState) RecordBodySent() { s.bodySent = true }
+
 // ServerFailed reports whether an instance ran the request and answered with a
 // failure.
 func (s *RetryState) ServerFailed() bool { return s.serverFailed }
