--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -236,8 +236,9 @@
 // refused as not run, one peer is notified by gossip, and the requests that the backend server was
 // given continue, with the calls that they make. Once none of them is running, or the last
 // response is due, the other daemons are asked to close their connections, and the servers are
-// shut down. Bodies that are still arriving as the last response is due are refused. The time limit counts from the signal to stop, which the process handles now. The
-// error wraps ErrCallsRunning if calls were still running when the last response was due.
+// shut down. Bodies that are still arriving as the last response is due are refused. The time
+// limit counts from the signal to stop, which the process handles now. The error wraps
+// ErrCallsRunning if calls were still running when the last response was due.
 func (d *Daemon) Stop(limit time.Duration, servers []http1.Server) error {
 	plan := stop.NewPlan(d.monitor, limit)
 	last, cancelLast := d.monitor.WithDeadline(context.Background(), plan.Last())
