--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -232,12 +232,19 @@
 // List implements Source.
 func (node *testNode) List(ctx context.Context, prefix string, _ bool) ([]replica.Item, uint64, error) {
 	items, revision, err := node.read(ctx, 0, 0)
+	if err == nil {
+		err = node.net.store.listError(prefix)
+	}
 	return slices.DeleteFunc(items, func(i replica.Item) bool { return !strings.HasPrefix(i.Key(), prefix) }), revision, err
 }
 
 // Watch implements Source.
 func (node *testNode) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
-	return node.read(ctx, after, wait)
+	items, revision, err := node.read(ctx, after, wait)
+	if err == nil {
+		err = node.net.store.watchError()
+	}
+	return items, revision, err
 }
 
 func (node *testNode) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
--- a/internal/sidecar/spread_store_test.go
+++ b/internal/sidecar/spread_store_test.go
@@ -23,6 +23,10 @@
 	// silent states that no call is answered. Those of the time stay unanswered after it,
 	// as their connections remain silent.
 	silent bool
+	// compacted states that watches fail because the store has discarded its history, and
+	// failingPrefix is the prefix whose lists fail, or "" for none.
+	compacted     bool
+	failingPrefix string
 	// calls is the number of calls since the last checkCalls.
 	calls int
 	// changed is closed at the next change.
@@ -113,3 +117,30 @@
 	}
 	return slices.Clone(s.items[after:]), uint64(len(s.items)), nil
 }
+
+// compact discards the history, so that watches fail, and lets the lists of a prefix fail.
+func (s *testStore) compact(failingPrefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted, s.failingPrefix = true, failingPrefix
+	s.wakeReaders()
+}
+
+// listError returns the error of a list of a prefix, and watchError that of a watch.
+func (s *testStore) listError(prefix string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if prefix == s.failingPrefix {
+		return ErrStoreUnavailable
+	}
+	return nil
+}
+
+func (s *testStore) watchError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.compacted {
+		return ErrCompacted
+	}
+	return nil
+}
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -195,6 +195,8 @@
 			break
 		}
 		n.store.setUnavailable(step[1] == "away")
+	case "compact": // compact PREFIX: watches fail with a discarded history, and lists of PREFIX
+		n.store.compact(step[1])
 	case "shut":
 		forEach(func(node *testNode) { node.storeReachable = false })
 	case "open":
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -223,24 +223,23 @@
 // seconds old.
 func (w *storeWatcher) list(ctx context.Context, current bool) error {
 	var complete uint64
+	begin := time.Now()
 	for i, prefix := range w.prefixes {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		begin := time.Now()
 		items, revision, err := w.source.List(ctx, prefix, current)
 		cancel()
 		if err != nil {
 			return err //nolint:wrapcheck // the source's error describes what failed
 		}
-		now := time.Now()
-		if i == 0 && current {
-			w.confirmCurrent(begin)
-		}
-		w.replacePrefix(now, prefix, items, revision)
+		w.replacePrefix(time.Now(), prefix, items, revision)
 		if i == 0 || revision < complete {
 			complete = revision
 		}
 	}
 	w.replica.AdvanceRevision(complete)
+	if current {
+		w.confirmCurrent(begin)
+	}
 	return nil
 }
 
