Keep connections whose response overtakes the end of their body

A refusal without an id counts on new connections only, and the request went over a new one, since the client had closed the old one after a request with a body of 50,000 bytes.

Cause: the response may be read before the goroutine that has sent the body says that it is done. The client then took the body for not sent. It now ends the write that may be under way, so that the goroutine answers at once.

Each connection less is also one dial less between daemons.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -146,14 +146,26 @@
 	if err != nil {
 		return nil, false, c.responseError(bodySent, err)
 	}
+	reusable = clean && c.endBody(r, bodySent)
+	return resp, reusable && stop(), nil
+}
+
+// endBody reports whether the whole body of a request has been sent when the response has been
+// read. The connection cannot be reused otherwise, as the rest of the body would be sent on it.
+func (c *conn) endBody(r *Request, sent <-chan error) bool {
+	if r.rest == nil {
+		// The goroutine that sends the body may not have said yet that it is done. If it is
+		// not, its next write fails.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+		defer func() { _ = c.SetWriteDeadline(time.Time{}) }()
+		return <-sent == nil
+	}
 	select {
-	case e := <-bodySent:
-		reusable = clean && e == nil
+	case err := <-sent:
+		return err == nil
 	default:
-		// The response arrived before the body was sent. The connection cannot be
-		// reused, as the rest of the body is still to be sent on it.
+		return false
 	}
-	return resp, reusable && stop(), nil
 }
 
 // sendHead sends the head of a request. If a small body follows at once, the head
