Accept no request behind one of HTTP/1.0 before its response

What clients saw (MIXED): an HTTP/1.0 client that keeps its connection and sends a further request behind one whose response is streamed without a length got the next response as a part of its body. `run` only: `sidecar` reads responses whole and sends their length.

Cause: such a response ends with the connection, which is decided as its head is sent. A request that had been accepted by then was to be answered, so the response was not the last one and the connection stayed. HTTP/1.0 has no pipelining, so the next request is now accepted once the response has been sent, and not at all if that ends the connection. A client that leaves is noticed meanwhile as before.

Responses with a length keep the connection.

--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -71,6 +71,11 @@
 		if e.body != nil && !c.awaitBody(e, watch) {
 			return
 		}
+		// A response to an HTTP/1.0 client may end with the connection, which is known once it
+		// is sent. Such clients do not pipeline, so the next request is not accepted before.
+		if !e.request.ProtoAtLeast(1, 1) && c.watchUntil(e.done) != nil {
+			return
+		}
 	}
 }
 
