Queue no request in a data centre that has been evacuated

A request that was refused for overload everywhere is sent once more, to the instance that expects to have capacity first. Fleet.Get, which decides whether that instance may still be used, left out whether its data centre is out of service (EVAC). It now answers as UsableInstances does.

The new case of fleet/fleet failed before: usable=true for an instance of an evacuated data centre.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -171,13 +171,13 @@
 	return list.instances
 }
 
-// Get returns the instance with the given id, whether it may receive requests, and
-// whether it is known. It disregards whether its data centre is out of service.
+// Get returns the instance with the given id, whether it may receive requests, as
+// UsableInstances says, and whether it is known.
 func (f *Fleet) Get(now time.Time, id string) (i Instance, usable, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.records[id]
-	return r.instance, ok && r.usable(now), ok
+	return r.instance, ok && r.usable(now) && !f.evacuated[r.instance.centre], ok
 }
 
 // ByAddress returns the instance of a service at an address, whether it may receive
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -44,6 +44,9 @@
 					ids = append(ids, i.ID())
 				}
 				fmt.Fprintf(&out, "%s: %s\n", line, strings.Join(ids, " "))
+			case "get":
+				i, usable, ok := f.Get(now, words[2])
+				fmt.Fprintf(&out, "%s: %s usable=%t known=%t\n", line, i.ID(), usable, ok)
 			case "at":
 				i, usable, ok := f.ByAddress(now, words[2], parseAddress(words[3]))
 				fmt.Fprintf(&out, "%s: %s usable=%t known=%t\n", line, i.ID(), usable, ok)
