--- a/internal/http1/server_conn.go
+++ b/internal/http1/server_conn.go
@@ -113,7 +113,8 @@
 	req, framing, err := parseHead(c.r)
 	c.head.endHead()
 	switch {
-	case errors.Is(err, errHeadTimeout) && c.goAway():
+	case errors.Is(err, errHeadTimeout) && c.server.goAway.Load() != nil && c.openRequests() == 0:
+		c.endIdle()
 		return nil, nil //nolint:nilnil // neither a request nor an error
 	case err != nil:
 		return nil, err
@@ -166,25 +167,26 @@
 	return false, fmt.Errorf("await request: %w", err)
 }
 
-// endIdle ends a connection without open requests. The client may not have received all of
-// the last response, so that a request that it sends now must not reset the connection.
+// endIdle ends a connection without open requests, and tells the client so if the server has a
+// response for that. The client may not have received all of the last response, so that a
+// request that it sends now must not reset the connection.
 func (c *serverConn) endIdle() {
-	if c.goAway() || !c.acceptLast() {
+	c.mu.Lock()
+	ending := c.lastAccepted
+	c.lastAccepted = true
+	c.mu.Unlock()
+	if ending {
 		return
 	}
+	if notice := c.server.goAway.Load(); notice != nil {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
+		if _, err := c.raw.Write(*notice); err != nil {
+			return
+		}
+	}
 	c.linger()
 }
 
-// acceptLast accepts no further requests, and reports whether any would have been accepted
-// before.
-func (c *serverConn) acceptLast() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	before := c.lastAccepted
-	c.lastAccepted = true
-	return !before
-}
-
 // clearDeadline removes the read deadline if requests are open, and reports whether they are.
 // The deadline was meant for the body of one of them then, which has been read meanwhile.
 func (c *serverConn) clearDeadline() bool {
@@ -234,25 +236,6 @@
 	return deadline
 }
 
-// goAway accepts no further requests and tells the client so, if the server has a response
-// for that. It reports whether it has. No request may be open.
-func (c *serverConn) goAway() bool {
-	notice := c.server.goAway.Load()
-	c.mu.Lock()
-	ok := notice != nil && c.open == 0 && !c.lastAccepted
-	c.lastAccepted = c.lastAccepted || ok
-	c.mu.Unlock()
-	if !ok {
-		return false
-	}
-	_ = c.raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	if _, err := c.raw.Write(*notice); err != nil {
-		return false
-	}
-	c.linger()
-	return true
-}
-
 // linger stops writing, and bounds the time for which the client may still write.
 func (c *serverConn) linger() {
 	if tcp, ok := c.raw.(*net.TCPConn); ok {
