--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -252,13 +252,6 @@
 	return false
 }
 
-func (s *PipelineServer) countClosed(n CloseCounts) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.closed.unread += n.unread
-	s.closed.cut += n.cut
-}
-
 // CloseCounts returns what Shutdown has ended without a response so far.
 func (s *PipelineServer) CloseCounts() CloseCounts {
 	s.mu.Lock()
@@ -304,7 +297,11 @@
 		}
 	}
 	for _, c := range s.openConns() {
-		s.countClosed(c.closeCounts())
+		n := c.closeCounts()
+		s.mu.Lock()
+		s.closed.unread += n.unread
+		s.closed.cut += n.cut
+		s.mu.Unlock()
 	}
 	s.cancel()
 	for _, c := range s.openConns() {
