Drop the fields of a connection where a message is read

A caller whose Connection field listed X-Tenant and X-Caller-Service had its requests run without both, wherever the backend server was beside another daemon than its own: the sidecar dropped listed fields only from requests of other daemons, and by then the first daemon had set these two. Backend servers beside the caller's daemon received the fields of the caller's connection, Connection: close among them. In run, a backend server's listed fields reached the caller.

http1.DropConnectionFields now states which fields concern one connection. Both daemons call it where they read a message, from callers, backend servers and other daemons, before they set fields of their own. The id of a request is forwarded even if the caller lists it.

--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/daemon"
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
@@ -123,33 +124,15 @@
 	daemon.ParentHeader:   true,
 	daemon.CustomerHeader: true,
 	daemon.TimeoutHeader:  true,
-	// Hop-by-hop fields, and fields that are set anew for the next connection.
-	"Connection":          true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-	"Expect":              true,
-	"Content-Length":      true,
 }
 
 // forwardedFields returns the header fields to forward, without those that contain the
-// API key.
+// API key. It drops the connection fields from h.
 func forwardedFields(h http.Header, key string) []daemon.Field {
-	// The fields that the sender lists in Connection are hop-by-hop as well.
-	connectionOptions := make(map[string]bool)
-	for _, v := range h.Values("Connection") {
-		for name := range strings.SplitSeq(v, ",") {
-			connectionOptions[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
+	http1.DropConnectionFields(h)
 	list := make([]daemon.Field, 0, len(h))
 	for name, values := range h {
-		if notForwarded[name] || connectionOptions[name] {
+		if notForwarded[name] {
 			continue
 		}
 		for _, v := range values {
@@ -190,6 +173,8 @@
 			header.Add(f.Name(), f.Value())
 		}
 	}
+	// A daemon of another version may have passed them on.
+	http1.DropConnectionFields(header)
 	header.Set(OutcomeHeader, resp.Outcome().String())
 	if resp.Length() >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(resp.Length(), 10))
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/backendhttp"
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
@@ -308,6 +309,7 @@
 		result = backend.Shed
 	}
 	e.quarantine.RecordAnswer(requestKey(w))
+	http1.DropConnectionFields(resp.Header)
 	return &reply{
 		outcome: caller.OutcomeRan,
 		status:  resp.StatusCode,
@@ -377,6 +379,8 @@
 	for _, f := range w.fields {
 		h.Add(f.name, f.value)
 	}
+	// A daemon of another version may have passed them on.
+	http1.DropConnectionFields(h)
 	h.Set(ParentHeader, token)
 	h.Set(CustomerHeader, w.context.Customer())
 	remaining := time.Until(w.context.Deadline())
--- a/internal/mesh/call_test.go
+++ b/internal/mesh/call_test.go
@@ -22,6 +22,8 @@
 // argument once is the label of an idempotency key, next lists the paths of nested requests,
 // body is the size of the body in bytes, and work is the service time. With the argument
 // crash, the request crashes the backend server, and with stalled, none of its body is sent.
+// With listed, the request and its response have a field with that name and the value listed,
+// and list it in their Connection fields.
 func (r *scriptRunner) call(t *testing.T, d *datadriven.TestData) string {
 	client, req := r.newCall(t, d)
 	return sendCall(client, req)
@@ -40,13 +42,14 @@
 
 // newCall returns the request that the arguments describe, and the client to send it with.
 func (r *scriptRunner) newCall(t *testing.T, d *datadriven.TestData) (*http.Client, *http.Request) {
-	var to, path, customer, label, nestedPaths, serviceTime string
+	var to, path, customer, listed, label, nestedPaths, serviceTime string
 	method := http.MethodGet
 	body := 0
 	d.ScanArgs(t, "to", &to)
 	d.ScanArgs(t, "path", &path)
 	d.MaybeScanArgs(t, "for", &customer)
 	d.MaybeScanArgs(t, "method", &method)
+	d.MaybeScanArgs(t, "listed", &listed)
 	d.MaybeScanArgs(t, "once", &label)
 	d.MaybeScanArgs(t, "next", &nestedPaths)
 	d.MaybeScanArgs(t, "body", &body)
@@ -67,6 +70,11 @@
 		// The daemon must not forward the key in other header fields, either.
 		req.Header.Set("X-Forwarded-Key", customerKey(customer))
 	}
+	if listed != "" {
+		req.Header.Set("Connection", listed)
+		req.Header.Set(listed, "listed")
+		req.Header.Set(standin.ListedHeader, listed)
+	}
 	if label != "" {
 		req.Header.Set(callerhttp.IdempotencyKeyHeader, r.idempotencyKey(label))
 	}
@@ -101,6 +109,9 @@
 		_, reason, _ = strings.Cut(strings.TrimSpace(string(text)), " for ")
 		reason = "for " + reason
 	}
+	if listed := req.Header.Get("Connection"); listed != "" && resp.Header.Get(listed) == "listed" {
+		reason += ", with " + listed
+	}
 	if resp.Close {
 		reason += ", closes"
 	}
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -168,6 +168,11 @@
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	b.mu.Lock()
 	fault, hold := b.fault, b.hold
 	b.mu.Unlock()
@@ -181,6 +186,9 @@
 	}
 	b.seen = append(b.seen, fmt.Sprintf("%s %s host=%s customer=%s caller=%s key=%t body=%d", r.Method, r.RequestURI, r.Host,
 		r.Header.Get("X-Tenant"), r.Header.Get("X-Caller-Service"), r.Header.Get("Authorization") != "", len(body)))
+	if r.Header.Get("X-Private") != "" {
+		b.seen = append(b.seen, "with X-Private")
+	}
 	b.mu.Unlock()
 	if hold != nil {
 		<-hold
@@ -217,6 +225,8 @@
 			_ = c.(*net.TCPConn).SetLinger(0)
 			_ = c.Close()
 		}
+	case "lists":
+		b.listFields(w)
 	case "headcut":
 		b.cutHead(w, r)
 	case "cut":
--- a/internal/sidecar/faulty_backend_test.go
+++ b/internal/sidecar/faulty_backend_test.go
@@ -40,6 +40,20 @@
 		next.Header.Get("X-Request-Id"), len(text), text)
 }
 
+// listFields answers with an interim response, a response and a trailer, and lists fields in
+// the Connection fields of the first two.
+func (b *fakeBackend) listFields(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Connection", "X-Private, Lycheehead-Report, Lycheehead-Hop")
+	h.Set("X-Private", "1")
+	h.Set("Link", "</a>")
+	w.WriteHeader(http.StatusEarlyHints)
+	h.Del("Link")
+	h.Set("Trailer", "X-Late")
+	_, _ = io.WriteString(w, "from "+b.id)
+	h.Set("X-Late", "1")
+}
+
 // cutHead begins a successful response and closes the connection within its head.
 func (b *fakeBackend) cutHead(w http.ResponseWriter, r *http.Request) {
 	c, _, err := http.NewResponseController(w).Hijack()
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
@@ -32,7 +34,7 @@
 	req.method, req.target, req.host, req.header = r.Method, r.RequestURI, r.Host, r.Header
 	req.id = in.admission.protocol.RequestMetadata(r.Header).ID()
 	b, err := readInlineBody(w, r)
-	dropConnectionFields(req.header)
+	http1.DropConnectionFields(req.header)
 	if err != nil {
 		// The sending daemon has disconnected, so no response can be sent.
 		panic(http.ErrAbortHandler)
@@ -76,7 +78,7 @@
 	status := http.StatusServiceUnavailable
 	if r.hasResponse() {
 		status = r.status
-		copyFields(h, r.header)
+		maps.Copy(h, r.header)
 	}
 	if err := setMessage(h, reportHeader, encodeReport(r)); err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -80,6 +81,7 @@
 func (in *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begin := time.Now()
 	meta := in.protocol.RequestMetadata(r.Header)
+	http1.DropConnectionFields(r.Header)
 	decision, resp := in.handle(w, r, meta, begin)
 	defer resp.lease.Release()
 	defer func() { decision.request.body.lease.Release() }()
@@ -129,7 +131,7 @@
 	}
 	decision.request.body = b
 	decision.request.fingerprint = fingerprint(decision.request)
-	in.protocol.Prepare(decision.request.header, Origin{service: in.service, customer: decision.request.customer})
+	in.protocol.Prepare(decision.request.header, Origin{id: meta.id, service: in.service, customer: decision.request.customer})
 	return decision, in.sender.send(ctx, decision.request, decision.attempts)
 }
 
@@ -274,7 +276,7 @@
 func (in *ingress) writeResponse(w http.ResponseWriter, resp *response) {
 	h := w.Header()
 	if resp.outcome == caller.OutcomeRan {
-		copyFields(h, resp.header)
+		maps.Copy(h, resp.header)
 		writeBody(w, resp.status, resp.body)
 		return
 	}
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -30,9 +30,12 @@
 
 // Origin is the origin of a request as it is passed to a backend server.
 type Origin struct {
-	service, customer string
+	id, service, customer string
 }
 
+// ID returns the id that the caller gave the request, or "" if there is none.
+func (o Origin) ID() string { return o.id }
+
 // Service returns the service of the daemon that received the request from its
 // caller.
 func (o Origin) Service() string { return o.service }
@@ -72,7 +75,8 @@
 	// RequestMetadata reads the header fields of a caller's request.
 	RequestMetadata(h http.Header) RequestMetadata
 	// Prepare rewrites the header fields of a caller's request for a backend
-	// server: it removes the API key and adds the origin.
+	// server: it removes the API key and adds the origin. The fields that the caller's
+	// Connection field lists have been removed before.
 	Prepare(h http.Header, o Origin)
 	// SetTarget sets the header fields for the instance that the request is meant
 	// for and for the time that remains until the deadline.
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -185,6 +185,7 @@
 		resp.Release()
 		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, err: err}
 	}
+	http1.DropConnectionFields(resp.Header())
 	r := decodeReport(report)
 	if !r.hasResponse() {
 		resp.Release()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -113,6 +113,8 @@
 	// pending holds the responses to the requests sent in the background, by the name that
 	// the script gives them.
 	pending map[string]chan string
+	// listed is what the Connection field of requests lists, or "".
+	listed string
 	// files is the limit for open files before a script lowered it, or zero.
 	files uint64
 }
@@ -323,6 +325,8 @@
 		time.Sleep(f.duration(args[1]))
 	case "files": // files none|all: whether the process may open files and connections
 		f.limitFiles(args[1] == "none")
+	case "listed": // listed a,b: requests list these fields in their Connection field from now on
+		f.listed = args[1]
 	case "grace": // grace 6s: the grace time of the daemons that are started from now on
 		f.grace = f.duration(args[1])
 	case "get", "post":
@@ -484,6 +488,10 @@
 	}
 	r.Header.Set("X-Tenant", "forged")
 	r.Header.Set("X-Caller-Service", "forged")
+	if f.listed != "" {
+		r.Header.Set("Connection", f.listed)
+		r.Header.Set("X-Private", "1")
+	}
 	switch {
 	case len(args) > 3 && args[3] == "nokey":
 	case len(args) > 3:
@@ -509,6 +517,11 @@
 	if resp.Header.Get("Retry-After") != "" {
 		formatted += ", with Retry-After"
 	}
+	for _, name := range []string{"X-Private", "X-Late", "Link"} {
+		if resp.Header.Get(name) != "" || resp.Trailer.Get(name) != "" {
+			formatted += ", with " + name
+		}
+	}
 	if time.Since(begin) > 500*time.Millisecond {
 		formatted += ", late"
 	}
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -35,6 +35,9 @@
 	// BodyDigestHeader contains the SHA-256 digest of the request body. It is set on
 	// the response.
 	BodyDigestHeader = "Load-Echo"
+	// ListedHeader is the Connection field of the response. The response has the fields that
+	// it lists, with the value "listed".
+	ListedHeader = "Load-Listed"
 )
 
 const (
@@ -324,6 +327,12 @@
 	}
 	w.Header().Set(BodyDigestHeader, hex.EncodeToString(hash.Sum(nil)))
 	w.Header().Set(RequestIDHeader, r.Header.Get(RequestIDHeader))
+	if names := r.Header.Get(ListedHeader); names != "" {
+		w.Header().Set("Connection", names)
+		for name := range strings.SplitSeq(names, ",") {
+			w.Header().Set(name, "listed")
+		}
+	}
 	_, _ = io.WriteString(w, "ran "+r.Header.Get(RequestIDHeader)+" for "+r.Header.Get(customerHeader)+"\n")
 }
 
