Send a forwarded request's framing fields once

The HTTP client wrote the Content-Length of a forwarded header beside its own, so that the sidecar's own backend server received it twice. It also passed on Connection, Expect and Transfer-Encoding if it was given them. Since the daemons drop these where they read a message; the client now leaves them out whatever its caller does, so that the framing of a request is always that of its body.

http1/client failed before: "Connection 1, Content-Length 2, Expect 1, Transfer-Encoding 1".

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -88,7 +88,13 @@
 				id = v
 			}
 		}
-		s.seen <- fmt.Sprintf("connection %d", n)
+		seen := fmt.Sprintf("connection %d", n)
+		if strings.Contains(head, "\r\nForwarded: ") {
+			for _, name := range []string{"Connection", "Content-Length", "Expect", "Transfer-Encoding"} {
+				seen += fmt.Sprintf(", %s %d", name, strings.Count(head, "\r\n"+name+": "))
+			}
+		}
+		s.seen <- seen
 		for word := range strings.FieldsSeq(<-s.script) {
 			switch word {
 			case "close":
@@ -192,6 +198,14 @@
 	case "post":
 		r = http1.NewRequest(http.MethodPost, "/", "example", h)
 		r.SetBody([]byte("hello"), nil, 5)
+	case "forwarded": // with the fields that framed the body on another connection
+		h.Set("Forwarded", "by=a")
+		h.Set("Connection", "close")
+		h.Set("Content-Length", "5")
+		h.Set("Expect", "100-continue")
+		h.Set("Transfer-Encoding", "chunked")
+		r = http1.NewRequest(http.MethodPost, "/", "example", h)
+		r.SetBody([]byte("hello"), nil, 5)
 	case "await":
 		r = http1.NewRequest(http.MethodPost, "/", "example", h)
 		r.SetBody([]byte("hello"), nil, 5)
--- a/internal/http1/fields.go
+++ b/internal/http1/fields.go
@@ -7,9 +7,18 @@
 
 // connectionFields are the header fields that concern one connection, or that the sender of a
 // message sets anew for each.
-var connectionFields = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+var connectionFields = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+	"Content-Length":      true,
 }
 
 // DropConnectionFields deletes the header fields that concern only the connection on which a
@@ -22,7 +31,7 @@
 			h.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range connectionFields {
+	for name := range connectionFields {
 		delete(h, name)
 	}
 }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -42,7 +42,8 @@
 
 // NewRequest returns a request without a body. target is the escaped path and query. host
 // is the value of the Host field, which need not be the address that the client connects
-// to. The header is not copied.
+// to. The header is not copied. Its fields that concern one connection are not sent, as the
+// request has its own.
 func NewRequest(method, target, host string, header http.Header) *Request {
 	return &Request{method: method, target: target, host: host, header: header}
 }
@@ -91,7 +92,7 @@
 	_, _ = w.WriteString(" HTTP/1.1\r\nHost: ")
 	_, _ = w.WriteString(r.host)
 	_, _ = w.WriteString("\r\n")
-	if err := r.header.Write(w); err != nil {
+	if err := r.header.WriteSubset(w, connectionFields); err != nil {
 		return fmt.Errorf("write header: %w", err)
 	}
 	switch {
