Match the routes of IPv6 hosts without a port

The part of the host behind its last colon was taken for a port, also within the brackets of an IPv6 address. A request with "Host: [::1]" got 404, one with "Host: [::1]:80" was served. A port is now only what follows the brackets.

--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -134,7 +134,7 @@
 // must not include a query.
 func (c *Config) Route(host, path string) (Route, bool) {
 	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
 		host = host[:i]
 	}
 	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
