Report responses of the platform and the admin endpoint that are too long

Both clients read a response up to their limit and took the beginning for the whole. A value of 4,194,305 bytes was read as one of 4,194,304, and a status beyond 64 MiB was decoded as far as it was read. A longer response is now an error (ErrTooLong), as it is already for the store and for control messages. The stand-in platform cut what is put there too.

--- a/internal/adminhttp/handler.go
+++ b/internal/adminhttp/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -24,6 +25,9 @@
 	maxStatusBytes = 64 << 20
 )
 
+// ErrTooLong is returned by FetchStatus if the status exceeds maxStatusBytes.
+var ErrTooLong = eris.New("status too long")
+
 // NewHandler returns the handler for the admin endpoints of a daemon.
 func NewHandler(d *daemon.Daemon) http.Handler {
 	mux := http.NewServeMux()
@@ -66,9 +70,12 @@
 		return nil, fmt.Errorf("request status: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes))
-	if err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes+1))
+	switch {
+	case err != nil:
 		return nil, fmt.Errorf("read status: %w", err)
+	case len(data) > maxStatusBytes:
+		return nil, fmt.Errorf("read status of more than %d bytes: %w", maxStatusBytes, ErrTooLong)
 	}
 	s := &schema.Status{}
 	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, s); err != nil {
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -52,6 +52,8 @@
 	ErrTooManyRequests = eris.New("too many requests to the platform")
 	// ErrUnexpectedStatus means that the platform returned any other HTTP status.
 	ErrUnexpectedStatus = eris.New("unexpected HTTP status")
+	// ErrTooLong means that a response exceeds maxResponseBytes.
+	ErrTooLong = eris.New("response too long")
 )
 
 // Client reads from a platform with one or more addresses. Use New to create one. It is
@@ -144,10 +146,13 @@
 }
 
 func (c *Client) decodeValue(resp *http.Response) (Value, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	c.bytes.Add(int64(len(data)))
-	if err != nil {
+	switch {
+	case err != nil:
 		return Value{}, fmt.Errorf("read response: %w", err)
+	case len(data) > maxResponseBytes:
+		return Value{}, fmt.Errorf("read response of more than %d bytes: %w", maxResponseBytes, ErrTooLong)
 	}
 	switch resp.StatusCode {
 	case http.StatusOK:
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -234,7 +234,7 @@
 
 // serveAdmin serves the endpoints for operators and tests.
 func (p *Platform) serveAdmin(w http.ResponseWriter, r *http.Request, path string) {
-	data, err := io.ReadAll(io.LimitReader(r.Body, 64*maxValueBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 64*maxValueBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
