Hold bodies on kept connections in the handover test

The proxy of TestSidecar/handover took all that follows the first answer of a connection for a body. It now tells heads from bodies.

--- a/internal/sidecar/held_proxy_test.go
+++ b/internal/sidecar/held_proxy_test.go
@@ -1,7 +1,9 @@
 package sidecar_test
 
 import (
+	"bytes"
 	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -14,7 +16,8 @@
 // machine that stands still does.
 type heldProxy struct {
 	mu sync.Mutex
-	// held is what is held: requests, answers, bodies (what follows the first answer), or "".
+	// held is what is held: requests, answers, bodies (of POST requests, which are sent once they
+	// are asked for), or "".
 	held string
 	// released is closed once nothing is held any more.
 	released chan struct{}
@@ -72,32 +75,25 @@
 		return
 	}
 	defer func() { _ = d.Close() }()
-	answered := make(chan struct{})
 	go func() {
-		p.copy(d, c, func() {
+		p.copy(d, c, func(sent []byte) {
 			p.await("requests")
-			select {
-			case <-answered:
+			if !bytes.HasPrefix(sent, []byte(http.MethodPost)) {
 				p.await("bodies")
-			default:
 			}
 		})
 		time.Sleep(lateEnd)
 		_ = d.(*net.TCPConn).CloseWrite()
 	}()
-	once := sync.OnceFunc(func() { close(answered) })
-	p.copy(c, d, func() {
-		p.await("answers")
-		once()
-	})
+	p.copy(c, d, func([]byte) { p.await("answers") })
 }
 
 // copy forwards in one direction until its end. It calls await before it writes.
-func (p *heldProxy) copy(to, from net.Conn, await func()) {
+func (p *heldProxy) copy(to, from net.Conn, await func(sent []byte)) {
 	buf := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buf)
-		await()
+		await(buf[:n])
 		if err != nil {
 			return
 		}
