--- a/cmd/lycheehead/output.go
+++ b/cmd/lycheehead/output.go
@@ -43,16 +43,6 @@
 	return f
 }
 
-// newLogger returns a logger that adds fields to each line.
-func newLogger(out *logs.Writer, level string, fields ...any) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
-		Name:       "lycheehead",
-		Level:      hclog.LevelFromString(level),
-		Output:     out,
-		JSONFormat: true,
-	}).With(fields...)
-}
-
 // libraryLog makes the lines that libraries write to the standard logger lines of a daemon's
 // log.
 type libraryLog struct {
--- a/cmd/lycheehead/output_test.go
+++ b/cmd/lycheehead/output_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
 )
@@ -25,7 +26,7 @@
 		}
 		defer func() { _ = r.Close() }()
 		out := logs.NewWriter(w)
-		captureLibraryLog(out, newLogger(out, "info", "slot", "doku-1"))
+		captureLibraryLog(out, logs.NewLogger(out, hclog.Info, "slot", "doku-1"))
 		for line := range strings.Lines(d.Input) {
 			stdlog.Print(line)
 		}
@@ -55,7 +56,7 @@
 	}
 	defer func() { _, _ = r.Close(), w.Close() }()
 	out := logs.NewWriter(w)
-	captureLibraryLog(out, newLogger(out, "info"))
+	captureLibraryLog(out, logs.NewLogger(out, hclog.Info))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/cmd/lycheehead/run.go
+++ b/cmd/lycheehead/run.go
@@ -47,7 +47,7 @@
 	limitResources()
 	out := logs.NewWriter(stderr)
 	defer out.Close(outputTimeout)
-	log := newLogger(out, settings.LogLevel(s), "slot", s.GetName(), "centre", s.GetCentre())
+	log := logs.NewLogger(out, hclog.LevelFromString(settings.LogLevel(s)), "slot", s.GetName(), "centre", s.GetCentre())
 	captureLibraryLog(out, log)
 	d, err := daemon.New(s, id, log)
 	if err != nil {
--- a/cmd/lycheehead/sidecar.go
+++ b/cmd/lycheehead/sidecar.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
@@ -29,7 +30,7 @@
 	}
 	limitResources()
 	out := logs.NewWriter(os.Stdout)
-	captureLibraryLog(out, newLogger(out, "info", "daemon", s.GetName(), "centre", s.GetCentre()))
+	captureLibraryLog(out, logs.NewLogger(out, hclog.Info, "daemon", s.GetName(), "centre", s.GetCentre()))
 	store := platform.NewStore(s.GetStore())
 	p := sidecar.NewPlatform(platform.Headers{}, store, platform.NewDecoder(), platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, out, firstStart)
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -20,13 +20,7 @@
 }
 
 func newEvents(out *logs.Writer, name, centre string) *events {
-	log := hclog.New(&hclog.LoggerOptions{
-		Name:       "lycheehead",
-		Level:      hclog.Debug,
-		Output:     out,
-		JSONFormat: true,
-	}).With("daemon", name, "centre", centre)
-	return &events{log: log, out: out}
+	return &events{log: logs.NewLogger(out, hclog.Debug, "daemon", name, "centre", centre), out: out}
 }
 
 // stateChange logs a change in the state of the daemon, or in its view of the store, the
