--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -207,10 +207,8 @@
 		m.setGauge("confirmed_age_seconds", age.Seconds())
 	}
 	m.setGauge("paused_seconds", d.monitor.Paused().Seconds())
-	if out := d.logOutput; out != nil {
-		m.setGauge("log_lines_dropped", float64(out.Dropped()))
-		m.setGauge("log_output_failures", float64(out.Failures()))
-		m.setGauge("log_output_failing_seconds", out.FailingFor(now).Seconds())
+	if d.logOutput != nil {
+		d.logOutput.SetGauges(now, m.setGauge)
 	}
 }
 
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -143,6 +143,14 @@
 // FailingFor returns how long the output has not worked, or zero if it works.
 func (w *Writer) FailingFor(now time.Time) time.Duration { return w.output.failingFor(now) }
 
+// SetGauges passes the gauges of the log to set: the lines that were dropped, the failures of the
+// output, and for how long it has failed.
+func (w *Writer) SetGauges(now time.Time, set func(name string, value float64)) {
+	set("log_lines_dropped", float64(w.Dropped()))
+	set("log_output_failures", float64(w.Failures()))
+	set("log_output_failing_seconds", w.FailingFor(now).Seconds())
+}
+
 // Write implements io.Writer. p must consist of whole lines.
 func (w *Writer) Write(p []byte) (int, error) {
 	w.mu.Lock()
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -354,9 +354,7 @@
 	d.metrics.gauge("bodies_evicted", float64(d.budget.Evicted()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("paused_seconds", d.monitor.Paused().Seconds())
-	d.metrics.gauge("log_lines_dropped", float64(d.out.Dropped()))
-	d.metrics.gauge("log_output_failures", float64(d.out.Failures()))
-	d.metrics.gauge("log_output_failing_seconds", d.out.FailingFor(now).Seconds())
+	d.out.SetGauges(now, d.metrics.gauge)
 	if cfg := d.state.config.Load(); cfg != nil {
 		d.metrics.customers.sweep(cfg)
 		d.metrics.gauge("version", float64(cfg.Version()))
