Close the connections to daemons that are no longer used

A connection to another daemon stayed open, kept alive by packets every 1.5 s, for as long as both daemons lived in two cases: once the daemon had another address, as the new connection only took the place of the old one; and once a request's caller had left before its stream was open, as the connection was then forgotten, though nothing was wrong with it.

A connection that is replaced is now drained as one to a stopping daemon is: it closes after its last stream. One is only forgotten if it has ended.

--- a/internal/peerquic/client.go
+++ b/internal/peerquic/client.go
@@ -47,7 +47,10 @@
 	}
 	stream, err := c.conn.OpenStreamSync(ctx)
 	if err != nil {
-		m.remove(name, c)
+		// If only ctx has ended, others may go on using the connection.
+		if c.closed() {
+			m.remove(name, c)
+		}
 		m.release(name, c)
 		return nil, nil, fmt.Errorf("open stream: %w: %w", ErrUnreachable, err)
 	}
@@ -92,13 +95,15 @@
 // acquire counts a stream on the connection to a slot. If there is none, it adds one, which
 // the caller must dial. ErrStopping means that the daemon accepts no more streams.
 func (m *Mesh) acquire(name, address string) (c *peerConn, dial bool, err error) {
+	var replaced *peerConn
 	m.conns.Update(name, func(old *peerConn, ok bool) (*peerConn, bool) {
 		c = old
 		if !ok || old.address != address || old.closed() {
 			c = &peerConn{address: address, dialed: make(chan struct{})}
 			dial = true
+			replaced = old
 		}
-		if c.stopping {
+		if c.draining {
 			err = fmt.Errorf("connect: %w: %w", ErrUnreachable, ErrStopping)
 			return c, true
 		}
@@ -106,37 +111,39 @@
 		c.lastUsed = time.Now()
 		return c, true
 	})
+	if replaced != nil {
+		m.drain(name, replaced)
+	}
 	return c, dial, err
 }
 
 // release ends a stream that was counted by acquire. It closes the connection after the last
-// one if the peer is stopping.
+// one if the connection is draining.
 func (m *Mesh) release(name string, c *peerConn) {
-	last := false
-	// The lock for name guards c, even if c is no longer in conns.
-	m.conns.Update(name, func(current *peerConn, ok bool) (*peerConn, bool) {
+	m.update(name, c, func() {
 		c.openStreams--
 		c.lastUsed = time.Now()
-		last = c.stopping && c.openStreams == 0
-		return current, ok
 	})
-	if last {
-		_ = c.conn.CloseWithError(codeClosed, "unused")
-	}
 }
 
-// peerStopping records that a peer accepts no more streams. It closes the connection if none
-// is open.
-func (m *Mesh) peerStopping(name string, c *peerConn) {
+// drain lets no more streams be opened on a connection. It closes the connection if none is
+// open.
+func (m *Mesh) drain(name string, c *peerConn) {
+	m.update(name, c, func() { c.draining = true })
+}
+
+// update changes the state of a connection, and then closes the connection if it is draining
+// and has no open streams. A connection that is being dialed is closed once it is established.
+func (m *Mesh) update(name string, c *peerConn, change func()) {
 	unused := false
+	// The lock for name guards c, even if c is no longer in conns.
 	m.conns.Update(name, func(current *peerConn, ok bool) (*peerConn, bool) {
-		c.stopping = true
-		unused = c.openStreams == 0
+		change()
+		unused = c.draining && c.openStreams == 0
 		return current, ok
 	})
-	m.onDisconnect(name)
-	if unused {
-		_ = c.conn.CloseWithError(codeClosed, "unused")
+	if conn := c.established(); unused && conn != nil {
+		_ = conn.CloseWithError(codeClosed, "unused")
 	}
 }
 
@@ -152,7 +159,11 @@
 
 // dial establishes the connection of c, or sets its error, and closes c.dialed.
 func (m *Mesh) dial(name string, c *peerConn) {
-	defer close(c.dialed)
+	defer func() {
+		close(c.dialed)
+		// The connection may have been drained meanwhile.
+		m.update(name, c, func() {})
+	}()
 	ctx, cancel := context.WithTimeout(m.ctx, dialTimeout)
 	defer cancel()
 	addr, err := net.ResolveUDPAddr("udp", c.address)
@@ -183,7 +194,8 @@
 func (m *Mesh) awaitClose(name string, c *peerConn) {
 	conn := c.conn
 	if _, err := conn.AcceptUniStream(m.ctx); err == nil {
-		m.peerStopping(name, c)
+		m.drain(name, c)
+		m.onDisconnect(name)
 	}
 	select {
 	case <-conn.Context().Done():
--- a/internal/peerquic/mesh.go
+++ b/internal/peerquic/mesh.go
@@ -85,8 +85,9 @@
 	err         error
 	lastUsed    time.Time
 	openStreams int
-	// stopping is set once the peer has announced that it accepts no more streams.
-	stopping bool
+	// draining is set once no more streams are to be opened: the peer has announced that it
+	// accepts none, or the connection is no longer in conns.
+	draining bool
 }
 
 // Listen opens the mesh on a UDP address. Incoming connections are accepted only after
--- a/internal/peerquic/mesh_test.go
+++ b/internal/peerquic/mesh_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -40,6 +41,8 @@
 	conn, upstream *net.UDPConn
 	delay          time.Duration
 	client         atomic.Pointer[net.UDPAddr]
+	// packets counts the packets of the client.
+	packets atomic.Int64
 }
 
 func newRelay(t *testing.T, server string, delay time.Duration) *relay {
@@ -71,6 +74,7 @@
 			return
 		}
 		r.client.Store(from)
+		r.packets.Add(1)
 		packet := append([]byte(nil), buf[:n]...)
 		time.AfterFunc(r.delay, func() { _, _ = r.upstream.Write(packet) })
 	}
@@ -91,9 +95,10 @@
 	}
 }
 
-// pair is a client and a server with a relay between them.
+// pair is a client and a server with relays between them. The client uses one at a time.
 type pair struct {
 	client, server *peerquic.Mesh
+	relays         []*relay
 	address        string
 	// open is the call whose response has not been read, and release ends it.
 	open    *peerquic.Stream
@@ -126,7 +131,10 @@
 		t.Fatal(err)
 	}
 	p := &pair{client: newMesh(t, ca, "client"), server: newMesh(t, ca, "server"), begun: make(chan string, 1), stopped: make(chan struct{})}
-	p.address = newRelay(t, p.server.Address(), delay).conn.LocalAddr().String()
+	for range 2 {
+		p.relays = append(p.relays, newRelay(t, p.server.Address(), delay))
+	}
+	p.address = p.relays[0].conn.LocalAddr().String()
 	return p
 }
 
@@ -169,13 +177,51 @@
 	return fmt.Sprintf("%d bytes", n)
 }
 
+// paths reports through which relays the client sends. It waits longer than the interval of the
+// packets that keep a connection open.
+func (p *pair) paths() string {
+	time.Sleep(100 * time.Millisecond)
+	var before []int64
+	for _, r := range p.relays {
+		before = append(before, r.packets.Load())
+	}
+	time.Sleep(2 * time.Second)
+	var out []string
+	for i, r := range p.relays {
+		state := "quiet"
+		if r.packets.Load() > before[i] {
+			state = "in use"
+		}
+		out = append(out, state)
+	}
+	return strings.Join(out, ", ")
+}
+
+// leave sends requests whose callers have left already.
+func (p *pair) leave() string {
+	const requests = 50
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	sent := 0
+	for range requests {
+		if _, release, err := p.client.OpenStream(ctx, "server", p.address, &schema.Request{}); err == nil {
+			release()
+			sent++
+		}
+	}
+	return fmt.Sprintf("%d of %d sent", sent, requests)
+}
+
 // run runs one line of a script: call sends a call and reads its body, begin and read do one
 // part of that, and connect begins one in the background, whose first packets the server has
 // answered after the line, and whose result is that of await. stop begins the planned stop of the server, wait waits until its first packets
-// have arrived and stopped until it has ended.
+// have arrived and stopped until it has ended. move gives the server another address. paths and
+// left run paths and leave, and connections prints how many connections the client has.
 func (p *pair) run(line string, delay time.Duration) string {
 	switch line {
 	case "call":
+		open, release := p.open, p.release
+		defer func() { p.open, p.release = open, release }()
 		if result := p.begin(); result != "answered" {
 			return result
 		}
@@ -201,6 +247,14 @@
 		time.Sleep(delay + 50*time.Millisecond)
 	case "stopped":
 		<-p.stopped
+	case "move":
+		p.address = p.relays[1].conn.LocalAddr().String()
+	case "paths":
+		return p.paths()
+	case "left":
+		return p.leave()
+	case "connections":
+		return strconv.Itoa(p.client.Connections())
 	}
 	return "ok"
 }
@@ -229,3 +283,19 @@
 		return out.String()
 	})
 }
+
+// TestConnections checks which connections a client keeps open.
+func TestConnections(t *testing.T) {
+	datadriven.RunTest(t, "testdata/connections", func(t *testing.T, d *datadriven.TestData) string {
+		p := newPair(t, 0)
+		defer func() {
+			_ = p.client.Close()
+			_ = p.server.Close()
+		}()
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			fmt.Fprintf(&out, "%s: %s\n", line, p.run(line, 0))
+		}
+		return out.String()
+	})
+}
