Close the socket of a mesh that cannot listen

If QUIC could not use the UDP socket, peerquic.Listen returned the error and left the socket and a context open. Found by reading; no test makes quic-go fail there, as the settings are fixed and the socket is new.

--- a/internal/peerquic/mesh.go
+++ b/internal/peerquic/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -127,7 +128,8 @@
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.listener, err = m.transport.Listen(id.serverConfig(), m.config)
 	if err != nil {
-		return nil, fmt.Errorf("listen for peers: %w", err)
+		m.cancel()
+		return nil, errors.Join(fmt.Errorf("listen for peers: %w", err), m.transport.Close(), conn.Close())
 	}
 	return m, nil
 }
