--- a/internal/peerquic/mesh.go
+++ b/internal/peerquic/mesh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -85,8 +86,9 @@
 	err         error
 	lastUsed    time.Time
 	openStreams int
-	// stopping is set once the peer has announced that it accepts no more streams.
-	stopping bool
+	// draining is set once no more streams are to be opened: the peer has announced that it
+	// accepts none, or the connection is no longer in conns.
+	draining bool
 }
 
 // Listen opens the mesh on a UDP address. Incoming connections are accepted only after
@@ -126,7 +128,8 @@
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.listener, err = m.transport.Listen(id.serverConfig(), m.config)
 	if err != nil {
-		return nil, fmt.Errorf("listen for peers: %w", err)
+		m.cancel()
+		return nil, errors.Join(fmt.Errorf("listen for peers: %w", err), m.transport.Close(), conn.Close())
 	}
 	return m, nil
 }
