--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -492,9 +492,13 @@
 		})
 	}
 	time.Sleep(20 * time.Millisecond)
-	s.stop(time.Second)
+	forced := s.stop(time.Second)
 	group.Wait()
-	return fmt.Sprintf("  %d unanswered, %d untrue refusals\n", unanswered.Load(), untrue.Load())
+	text := fmt.Sprintf("  %d unanswered, %d untrue refusals", unanswered.Load(), untrue.Load())
+	if forced {
+		text += ", stopped at the time limit"
+	}
+	return text + "\n"
 }
 
 // read reads the next response.
