--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -80,6 +80,9 @@
 	return d.Decoder.Decode(i)
 }
 
+// largeBody is the size in bytes of a body that is passed on while it arrives.
+const largeBody = 1200 << 10
+
 // controlMessages are messages of senders that are no daemons, by kind.
 var controlMessages = map[string]string{
 	"empty":   "",
@@ -379,6 +382,13 @@
 		}
 		_, _ = fmt.Fprintf(f.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: %s\r\n"+
 			"Authorization: Bearer %s\r\nContent-Length: 100\r\n\r\nhalf", args[1], f.requests, deadline, callerKey)
+	case "large": // large path: sends more than is buffered of a body without length, with a deadline of 5 s
+		f.requests++
+		_, _ = fmt.Fprintf(f.conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 5000\r\n"+
+			"Authorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", args[1], f.requests, callerKey,
+			largeBody, strings.Repeat("x", largeBody))
+	case "finish": // sends the end of such a body
+		_, _ = io.WriteString(f.conn, "4\r\nlast\r\n0\r\n\r\n")
 	case "receive":
 		return f.receive()
 	case "leave":
