Give places only to daemons that answer

Now a daemon takes its place by answering. The roster holds those that sent a message, or that another daemon reports; readers, tree, heartbeats and the state of pushes are made of these alone, and one that stops answering falls behind. A starting daemon greets up to 16 hosts and learns the others from the answers, readers greet 8 more a second and report what they learn. Hosts of services that the configuration does not name are greeted by nobody, and take no part in enforcing limits, which follows from the entries since all daemons have to agree on it.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -136,6 +136,7 @@
 		self:            inboundAddr.Addr().String(),
 		centre:          s.GetCentre(),
 		ineligiblePeers: table.New[string, time.Time](lock.Members),
+		roster:          newRoster(d.state.fleet, inboundAddr.Addr().String(), s.GetCentre()),
 	}
 	d.gossiper = &gossiper{
 		fleetState: d.state,
@@ -235,14 +236,9 @@
 // storeChanged applies a change of the replica to the parts of the daemon and sends it to
 // other daemons.
 func (d *Daemon) storeChanged(now time.Time) {
-	if d.limiter.membership.Load() == nil {
-		// At the first change, contact the other daemons of the data centre. If an earlier
-		// process announced that it stops, they may still treat this daemon as leaving.
-		defer d.events.spawn(d.gossiper.syncCentre)
-	}
 	d.admission.refreshStatus(now)
-	d.gossiper.otherHosts() // updates daemonCount
 	d.limiter.updateMembership(now)
+	d.gossiper.joinFleet()
 	d.events.spawn(d.gossiper.propagate)
 }
 
@@ -330,6 +326,7 @@
 		d.admission.client.CloseExpired(now)
 		d.admission.refreshStatus(now)
 		d.limiter.sweep(now)
+		d.gossiper.sweep(now)
 		d.sender.balancer.Sweep(d.state.fleet.IDs())
 		keep := make(map[string]bool)
 		for _, h := range d.gossiper.otherHosts() {
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -98,6 +98,8 @@
 	if m.GetFrom() == "" {
 		return false
 	}
+	g.watcher.roster.heard(now, m.GetFrom())
+	g.watcher.roster.introduce(now, m.GetDaemons())
 	g.watcher.recordEligibility(now, m.GetFrom(), m.GetAway())
 	g.limiter.recordMessage(now, m.GetFrom(), m.GetLeaving())
 	// The store's revision also increases when keys change that daemons do not
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -96,6 +96,7 @@
 		return
 	}
 	s.config.Store(c.config)
+	s.fleet.SetServices(c.config.ServiceNames())
 	s.events.stateChange("configuration version applied", "version", c.config.Version(),
 		"routes", c.config.RouteCount(), "customers", c.config.CustomerCount())
 	if old != nil {
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -27,6 +27,11 @@
 	// fastGossipInterval replaces gossipInterval while this daemon cannot read the
 	// store itself.
 	fastGossipInterval = 300 * time.Millisecond
+	// maxGreetings is the number of hosts that a daemon greets at a time: at its start to find the
+	// daemons of its data centre, and as a reader at each heartbeat to find further ones.
+	maxGreetings = 8
+	// greetingAttempts is the number of attempts to greet a host.
+	greetingAttempts = 2
 	// maxMessageBytes is the maximum size of a control message.
 	maxMessageBytes = 16 << 20
 	// unknownAge is the age reported for a replica that was never known to be
@@ -58,6 +63,8 @@
 	packed atomic.Pointer[packedItems]
 	// syncPending is set while a call of runDelayed is scheduled.
 	syncPending atomic.Bool
+	// joined is set once the daemons of the data centre were greeted.
+	joined atomic.Bool
 	// daemonCount is the number of daemons in the fleet.
 	daemonCount atomic.Int64
 }
@@ -65,6 +72,12 @@
 // fleetShare returns this daemon's equal share of a fleet-wide budget.
 func (g *gossiper) fleetShare() float64 { return 1 / float64(max(g.daemonCount.Load(), 1)) }
 
+// sweep removes the state of daemons that are no longer published.
+func (g *gossiper) sweep(now time.Time) {
+	known := g.watcher.roster.sweep(now)
+	g.pushes.Sweep(func(ip string, p pushState) bool { return p.inProgress || known[ip] })
+}
+
 // otherHosts returns the hosts of the other daemons, and updates daemonCount.
 func (g *gossiper) otherHosts() []fleet.Host {
 	hosts := g.fleet.Hosts()
@@ -122,6 +135,10 @@
 	if behind && m.GetWant() {
 		transfer = g.answerChanges(answer, m.GetRevision())
 	}
+	if m.GetGreeting() {
+		daemons, _ := g.watcher.roster.introductions(0)
+		answer.SetDaemons(daemons)
+	}
 	answer.SetShares(g.limiter.renewLeases(now, m))
 	if m.HasBorrow() {
 		answer.SetLent(g.limiter.handleTokenRequest(now, m.GetBorrow()))
@@ -173,6 +190,50 @@
 	}
 }
 
+// strangers returns the hosts of the data centre of which it is not known whether they run a
+// daemon.
+func (g *gossiper) strangers() []string {
+	var ips []string
+	for _, h := range g.fleet.Hosts() {
+		if h.Live() && h.Centre() == g.centre && !g.watcher.roster.known(h.IP()) {
+			ips = append(ips, h.IP())
+		}
+	}
+	return ips
+}
+
+// greet greets some hosts, of which those that run a daemon answer with all daemons of the data
+// centre that they know.
+func (g *gossiper) greet(ips []string) {
+	for _, ip := range ips {
+		g.events.spawn(func() {
+			if _, err := g.syncPeer(ip, pushState{greeting: true}, greetingAttempts); err != nil {
+				g.events.stateChange("greeting not answered", "ip", ip, "error", err.Error())
+			}
+		})
+	}
+}
+
+// greetRandom greets random strangers.
+func (g *gossiper) greetRandom() {
+	ips := g.strangers()
+	rand.Shuffle(len(ips), func(i, j int) { ips[i], ips[j] = ips[j], ips[i] })
+	g.greet(ips[:min(maxGreetings, len(ips))])
+}
+
+// joinFleet updates daemonCount. At the first change that shows other hosts, it greets those of
+// the data centre that are most likely to be readers, and random ones in case most do not run a
+// daemon. The others are told by the readers. If an earlier process announced that it stops,
+// they may still treat this daemon as leaving.
+func (g *gossiper) joinFleet() {
+	if len(g.otherHosts()) == 0 || !g.joined.CompareAndSwap(false, true) {
+		return
+	}
+	likely := peer.Top(g.centre, g.strangers(), maxGreetings)
+	g.greet(likely)
+	g.greetRandom()
+}
+
 // runHeartbeats periodically syncs with all daemons of the data centre while this
 // daemon is one of its readers and has a current replica. This confirms that the
 // replicas of the others are current.
@@ -183,5 +244,6 @@
 			continue
 		}
 		g.syncCentre()
+		g.greetRandom()
 	}
 }
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -11,7 +11,6 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
-	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/table"
@@ -66,6 +65,12 @@
 	// remote indicates that the daemon is in another data centre, which reads the store
 	// itself. Items are exchanged only if the replica that lacks them is outdated.
 	remote bool
+	// greeting asks for the daemons of the data centre.
+	greeting bool
+	// introduced is the number of the last daemon that was reported to this one, and daemons
+	// are those to report in the next message.
+	introduced uint64
+	daemons    []string
 	// failures is the number of failed pushes since the last successful one.
 	failures int
 }
@@ -116,8 +121,8 @@
 }
 
 // recipients returns the daemons of the data centre in the order of the
-// distribution tree: readers first, and last those whose instance is no longer
-// published. Such a daemon may still be running and has to receive changes, above
+// distribution tree: readers first, then those that do not answer, and last those whose
+// instance is no longer published. Such a daemon may still be running and has to receive changes, above
 // all the removal of its own instance.
 func (g *gossiper) recipients() []string {
 	order := g.watcher.readerOrder()
@@ -128,7 +133,7 @@
 	var ineligible, unpublished []string
 	for _, h := range g.fleet.Hosts() {
 		switch {
-		case h.Centre() != g.centre || eligible[h.IP()]:
+		case h.Centre() != g.centre || eligible[h.IP()] || !g.watcher.roster.known(h.IP()):
 		case h.Live():
 			ineligible = append(ineligible, h.IP())
 		case h.IP() == g.self || g.mayBeRunning(h.IP()):
@@ -186,17 +191,24 @@
 // failed.
 func (g *gossiper) pushLoop(ip string, p pushState) {
 	for p.inProgress {
+		introduced := p.introduced
+		if g.watcher.readerRank() >= 0 {
+			p.daemons, introduced = g.watcher.roster.introductions(introduced)
+		}
 		revision, err := g.syncPeer(ip, p, pushAttempts)
 		if err != nil {
 			g.events.stateChange("push to daemon failed", "ip", ip, "error", err.Error())
+			g.markSilent(ip, err)
 		}
 		g.pushes.Update(ip, func(old pushState, _ bool) (pushState, bool) {
 			if err != nil {
 				old.failures++
 				old.revisionKnown, old.inProgress = false, false
+				old.introduced = 0
 			} else {
 				old.failures = 0
 				old.revision, old.revisionKnown = revision, true
+				old.introduced = introduced
 				old.inProgress = revision < old.targetRevision
 			}
 			p = old
@@ -210,6 +222,14 @@
 func (g *gossiper) syncOnce(ip string, remote bool) {
 	if _, err := g.syncPeer(ip, pushState{remote: remote}, 1); err != nil {
 		g.events.stateChange("sync with daemon failed", "ip", ip, "error", err.Error())
+		g.markSilent(ip, err)
+	}
+}
+
+// markSilent records that a daemon did not answer, unless the reason is this machine.
+func (g *gossiper) markSilent(ip string, err error) {
+	if g.ctx.Err() == nil && !localShortage(err) {
+		g.watcher.roster.markSilent(ip)
 	}
 }
 
@@ -228,6 +248,8 @@
 	failed := 0
 	for round := 0; round < maxPushRounds; {
 		m := g.newMessage()
+		m.SetGreeting(p.greeting)
+		m.SetDaemons(p.daemons)
 		timeout := pushTimeout
 		if p.revisionKnown {
 			g.attachChanges(m, p.revision)
@@ -262,7 +284,7 @@
 		if !behind || p.remote && time.Duration(answer.GetAge())*time.Microsecond <= outdatedAge {
 			return answer.GetRevision(), nil
 		}
-		p.revision, p.revisionKnown = answer.GetRevision(), true
+		p.revision, p.revisionKnown, p.daemons = answer.GetRevision(), true, nil
 		round++
 	}
 	return p.revision, nil
@@ -324,5 +346,6 @@
 // isPublished reports whether a host has a published instance, or had one until
 // recently.
 func (g *gossiper) isPublished(ip string) bool {
-	return slices.ContainsFunc(g.fleet.Hosts(), func(h fleet.Host) bool { return h.IP() == ip })
+	_, ok := g.fleet.Host(ip)
+	return ok
 }
--- a/internal/sidecar/rate_limiter.go
+++ b/internal/sidecar/rate_limiter.go
@@ -97,12 +97,13 @@
 	return table.New[string, time.Time](lock.Members)
 }
 
-// updateMembership recomputes the membership from the published hosts and the
-// daemons that are leaving.
+// updateMembership recomputes the membership from the published hosts of the
+// configuration's services and the daemons that are leaving. All daemons have to agree on
+// it, so it doesn't depend on which of them have answered this one.
 func (l *rateLimiter) updateMembership(now time.Time) {
 	m := &membership{centrePeers: make(map[string]bool)}
 	for _, h := range l.fleet.Hosts() {
-		if !h.Live() {
+		if !h.Live() || !h.Serving() {
 			continue
 		}
 		m.all = append(m.all, h.IP())
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -39,6 +39,9 @@
 	defer cancel()
 	sleep(ctx, messageDelay)
 	to, d, processingDelay := node.net.target(node, ip)
+	node.net.mu.Lock()
+	node.net.messages++
+	node.net.mu.Unlock()
 	if d == retransmitted {
 		sleep(ctx, retransmitDelay)
 	}
@@ -157,7 +160,7 @@
 	state := newFleetState(node, newEvents(node.out, node.ip, node.centre), now)
 	watcher := &storeWatcher{
 		fleetState: state, source: node, prefixes: []string{"c/", "i/"}, self: node.ip, centre: node.centre,
-		ineligiblePeers: table.New[string, time.Time](lock.Members),
+		ineligiblePeers: table.New[string, time.Time](lock.Members), roster: newRoster(state.fleet, node.ip, node.centre),
 	}
 	rateBound := customer.NewRateBound(5*time.Second, 0.25, 20)
 	g := &gossiper{
@@ -180,11 +183,8 @@
 	g.seeds.Store(&[]string{})
 	watcher.onStoreUnreachable = g.syncCentre
 	state.onChange = func(time.Time) {
-		g.otherHosts() // updates daemonCount
-		if g.limiter.membership.Load() == nil {
-			defer func() { go g.syncCentre() }()
-		}
 		g.limiter.updateMembership(time.Now())
+		g.joinFleet()
 		go g.propagate()
 	}
 	node.gossiper = g
@@ -218,6 +218,7 @@
 			return nil, err
 		}
 		b := operator.NewBuilder(n)
+		b.AddService(operator.NewService(testService, "/health", 0))
 		b.AddCustomer(operator.NewCustomer(testCustomer, nil, 0, float64(node.net.rate), float64(node.net.burst)))
 		cfg, err := b.Build()
 		return NewConfigChange(cfg), err
@@ -225,8 +226,8 @@
 	if i.Removed() {
 		return NewRemovalChange(name), nil
 	}
-	ip, centre, _ := strings.Cut(string(i.Value()), " ")
-	return NewInstanceChange(fleet.NewInstance(name, "s", centre, fleet.NewAddress(ip, 80), time.Unix(0, 0))), nil
+	f := strings.Fields(string(i.Value()))
+	return NewInstanceChange(fleet.NewInstance(name, f[2], f[1], fleet.NewAddress(f[0], 80), time.Unix(0, 0))), nil
 }
 
 // List implements Source.
--- a/internal/sidecar/spread_store_test.go
+++ b/internal/sidecar/spread_store_test.go
@@ -70,6 +70,7 @@
 	defer s.mu.Unlock()
 	n := s.calls
 	s.calls = 0
+	t.Logf("%d calls", n)
 	if n > limit {
 		return fmt.Sprintf("%d calls", n)
 	}
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -95,6 +95,8 @@
 	centres int
 	// crossed is the number of store items in messages between data centres.
 	crossed int
+	// messages is the number of messages since the last check.
+	messages int
 	// apart holds the data centres whose daemons cannot reach those of others.
 	apart map[string]bool
 	// rate and burst are the test customer's limit.
@@ -136,12 +138,18 @@
 		}
 	}
 	for name, node := range n.nodes {
-		n.store.put("i/"+name, node.ip+" "+node.centre, false)
+		n.store.put("i/"+name, node.entry(), false)
 		node.start()
 	}
 	return n
 }
 
+// testService is the service of the daemons' instances.
+const testService = "s"
+
+// entry returns the value of the daemon's instance in the store.
+func (node *testNode) entry() string { return node.ip + " " + node.centre + " " + testService }
+
 func (n *testNet) close() {
 	for _, node := range n.nodes {
 		node.kill()
@@ -185,9 +193,15 @@
 		n.mu.Unlock()
 	case "queues": // queues D: how long messages waited for a link, D at most
 		return n.checkQueues(t, step[1])
+	case "foreign": // foreign N SERVICE: another writer adds N entries of a service, whose hosts run no daemon
+		n.publishForeign(atoi(t, step[1]), step[2])
+	case "messages": // messages N: the daemons have sent at most N messages since the last time
+		return n.checkMessages(t, step[1])
+	case "peers": // peers N: no daemon keeps state of more than N other hosts
+		return n.checkPeers(t, step[1])
 	case "remove", "publish":
 		for _, name := range step[1:] {
-			n.store.put("i/"+name, n.nodes[name].ip+" "+n.nodes[name].centre, step[0] == "remove")
+			n.store.put("i/"+name, n.nodes[name].entry(), step[0] == "remove")
 		}
 	case "store": // store away|back, or store silent|answers
 		if step[1] == "silent" || step[1] == "answers" {
@@ -289,6 +303,43 @@
 	}
 }
 
+func (n *testNet) publishForeign(count int, service string) {
+	centres := make(map[string]bool)
+	for _, node := range n.nodes {
+		centres[node.centre] = true
+	}
+	names := slices.Sorted(maps.Keys(centres))
+	for i := range count {
+		n.store.put(fmt.Sprintf("i/x%d", i), fmt.Sprintf("10.200.%d.%d %s %s", i/250, i%250, names[i%len(names)], service), false)
+	}
+}
+
+func (n *testNet) checkMessages(t *testing.T, bound string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := n.messages
+	n.messages = 0
+	t.Logf("%d messages", sent)
+	if sent > atoi(t, bound) {
+		return fmt.Sprintf("%d messages", sent)
+	}
+	return "within the bound"
+}
+
+func (n *testNet) checkPeers(t *testing.T, bound string) string {
+	most := 0
+	for _, node := range n.nodes {
+		if node.running {
+			most = max(most, node.gossiper.pushes.Len())
+		}
+	}
+	t.Logf("state of %d hosts at most", most)
+	if most > atoi(t, bound) {
+		return fmt.Sprintf("%d hosts", most)
+	}
+	return "within the bound"
+}
+
 func (n *testNet) checkQueues(t *testing.T, bound string) string {
 	limit, err := time.ParseDuration(bound)
 	if err != nil {
@@ -309,12 +360,12 @@
 func (n *testNet) reader(t *testing.T, centre, rank string) string {
 	i := atoi(t, rank)
 	for _, node := range n.nodes {
-		if node.centre != centre || !node.running {
+		if node.centre != centre || !node.running || node.partitioned {
 			continue
 		}
 		order := node.gossiper.watcher.readerOrder()
 		for name, other := range n.nodes {
-			if other.ip == order[i] {
+			if i < len(order) && other.ip == order[i] {
 				return name
 			}
 		}
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -73,6 +73,7 @@
 	// fallbackUntil is the time until which this daemon reads because its
 	// replica was stale, in nanoseconds since startedAt.
 	fallbackUntil atomic.Int64
+	roster        *roster
 	// onStoreUnreachable is called when this daemon can no longer read the store. It
 	// notifies the other daemons of the data centre, so that another one becomes a
 	// reader.
@@ -164,12 +165,12 @@
 	})
 }
 
-// rankDaemons returns the eligible daemons of the data centre in the order of
+// rankDaemons returns the eligible daemons of the data centre that answer, in the order of
 // rendezvous hashing.
 func (w *storeWatcher) rankDaemons(eligible func(ip string) bool) []string {
 	var ips []string
 	for _, h := range w.fleet.Hosts() {
-		if h.Live() && h.Centre() == w.centre && eligible(h.IP()) {
+		if h.Live() && h.Centre() == w.centre && w.roster.present(h.IP()) && eligible(h.IP()) {
 			ips = append(ips, h.IP())
 		}
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -44,6 +44,9 @@
 	mu        *lock.Mutex
 	records   map[string]record
 	evacuated map[string]bool
+	// services are the services of the configuration, or nil before there is one, and
+	// daemons the hosts that were seen to run a daemon.
+	services, daemons map[string]bool
 	// restoredAt is when each data centre last returned to service.
 	restoredAt map[string]time.Time
 	// storeUnavailableAt is when the store was last unavailable.
@@ -73,6 +76,7 @@
 		mu:         lock.New(lock.Members),
 		records:    make(map[string]record),
 		evacuated:  make(map[string]bool),
+		daemons:    make(map[string]bool),
 		restoredAt: make(map[string]time.Time),
 		usable:     make(map[string]usableList),
 	}
@@ -118,6 +122,26 @@
 	}
 }
 
+// SetServices sets the names of the services in the configuration. Entries of other
+// services may come from writers that know nothing of the fleet, so they are no reason to
+// look for a daemon on their hosts. The map is retained.
+func (f *Fleet) SetServices(names map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.services = names
+	f.hosts = nil
+}
+
+// AddDaemon records that a host, given by its IP address, runs a daemon.
+func (f *Fleet) AddDaemon(host string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.daemons[host] {
+		f.daemons[host] = true
+		f.hosts = nil
+	}
+}
+
 // SetEvacuated takes the named data centre out of service, or returns it to
 // service. Its instances remain in the fleet.
 func (f *Fleet) SetEvacuated(now time.Time, centre string, evacuated bool) {
@@ -207,11 +231,12 @@
 	return r.instance.startedAt.After(found.startedAt)
 }
 
-// Host is a machine on which a daemon runs, or ran recently.
+// Host is a machine on which a daemon may run, or have run recently.
 type Host struct {
-	ip     string
-	centre string
-	live   bool
+	ip      string
+	centre  string
+	live    bool
+	serving bool
 }
 
 // IP returns the IP address.
@@ -223,36 +248,60 @@
 // Live reports whether the store has an entry for an instance on the host.
 func (h Host) Live() bool { return h.live }
 
+// Serving reports whether the host's instance belongs to a service of the configuration,
+// or whether there is no configuration yet.
+func (h Host) Serving() bool { return h.serving }
+
 // Hosts returns the hosts of all published instances and of those that were removed
-// within about the last 30 s, sorted by the text of their IP addresses. The caller must not
-// modify the slice.
+// within about the last 30 s, sorted by the text of their IP addresses. Hosts whose instances
+// belong to no service of the configuration are left out unless they run a daemon. The
+// caller must not modify the slice.
 func (f *Fleet) Hosts() []Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.hosts != nil {
 		return f.hosts
 	}
-	found := make(map[string]Host)
 	latest := make(map[string]record)
 	for _, r := range f.records {
 		ip := r.instance.address.Host()
-		if other, ok := latest[ip]; !ok || describesHost(r, other) {
+		if !f.serving(r) && !f.daemons[ip] {
+			continue
+		}
+		if other, ok := latest[ip]; !ok || f.describesHost(r, other) {
 			latest[ip] = r
 		}
-		found[ip] = Host{ip: ip, centre: latest[ip].instance.centre, live: latest[ip].removedAt.IsZero()}
 	}
-	list := make([]Host, 0, len(found))
-	for _, h := range found {
-		list = append(list, h)
+	list := make([]Host, 0, len(latest))
+	for ip, r := range latest {
+		list = append(list, Host{ip: ip, centre: r.instance.centre, live: r.removedAt.IsZero(), serving: f.serving(r)})
 	}
 	slices.SortFunc(list, func(a, b Host) int { return cmp.Compare(a.ip, b.ip) })
 	f.hosts = list
 	return list
 }
 
+// Host returns the element of Hosts with an IP address.
+func (f *Fleet) Host(ip string) (Host, bool) {
+	hosts := f.Hosts()
+	i, ok := slices.BinarySearchFunc(hosts, ip, func(h Host, ip string) int { return cmp.Compare(h.ip, ip) })
+	if !ok {
+		return Host{}, false
+	}
+	return hosts[i], true
+}
+
+// serving reports whether a record belongs to a service of the configuration. The caller
+// holds mu.
+func (f *Fleet) serving(r record) bool { return f.services == nil || f.services[r.instance.service] }
+
 // describesHost reports whether a record is preferred to another one for the same host:
-// one that is present in the store, then the one that started last.
-func describesHost(r, other record) bool {
+// one of a service of the configuration, then one that is present in the store, then the
+// one that started last. The caller holds mu.
+func (f *Fleet) describesHost(r, other record) bool {
+	if f.serving(r) != f.serving(other) {
+		return f.serving(r)
+	}
 	if r.removedAt.IsZero() != other.removedAt.IsZero() {
 		return r.removedAt.IsZero()
 	}
@@ -298,4 +347,11 @@
 			f.changed()
 		}
 	}
+	published := make(map[string]bool, len(f.daemons))
+	for _, r := range f.records {
+		if ip := r.instance.address.Host(); f.daemons[ip] {
+			published[ip] = true
+		}
+	}
+	f.daemons = published
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -44,6 +44,16 @@
 					ids = append(ids, i.ID())
 				}
 				fmt.Fprintf(&out, "%s: %s\n", line, strings.Join(ids, " "))
+			case "services":
+				f.SetServices(map[string]bool{words[2]: true})
+			case "daemon":
+				f.AddDaemon(words[2])
+			case "hosts":
+				var hosts []string
+				for _, h := range f.Hosts() {
+					hosts = append(hosts, fmt.Sprintf("%s in %s live=%t serving=%t", h.IP(), h.Centre(), h.Live(), h.Serving()))
+				}
+				fmt.Fprintf(&out, "%s: %s\n", line, strings.Join(hosts, ", "))
 			case "at":
 				i, usable, ok := f.ByAddress(now, words[2], parseAddress(words[3]))
 				fmt.Fprintf(&out, "%s: %s usable=%t known=%t\n", line, i.ID(), usable, ok)
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -105,6 +105,15 @@
 	return s, ok
 }
 
+// ServiceNames returns the set of the services' names. The map is new.
+func (c *Config) ServiceNames() map[string]bool {
+	names := make(map[string]bool, len(c.services))
+	for name := range c.services {
+		names[name] = true
+	}
+	return names
+}
+
 // Customer returns the customer with the given name.
 func (c *Config) Customer(name string) (Customer, bool) {
 	v, ok := c.customers[name]
