--- a/internal/soak/fake_test.go
+++ b/internal/soak/fake_test.go
@@ -153,11 +153,15 @@
 		p.ServeHTTP(w, r)
 	}
 	if f.fault == "lavish" && strings.HasSuffix(r.Header.Get("Authorization"), customerKeys[customerLimited]) {
-		var repeats sync.WaitGroup
+		// One request is enough to exceed the limit.
+		r = r.WithContext(context.WithoutCancel(r.Context()))
 		for range 2 * backendSlots {
-			repeats.Go(func() { forward(newBlank(), body) })
+			go func() {
+				for range 10 {
+					forward(newBlank(), body)
+				}
+			}()
 		}
-		repeats.Wait()
 	}
 	switch fault {
 	case "cutting":
