Read the store where no reader is heard

Nobody noticed that the readers were silent; the others found changes by asking random daemons.

Messages now say whether their sender reads the store. A daemon that hears no reader for 1.2 s reads itself, the next in the order first and all within 1.5 s, and tells the others at once. Where the store refuses it, it asks daemons of other data centres that have answered, every 0.3 s and without waiting for one that does not. A reader that is silent for 2.5 s loses its place until it is heard. Versions are thus in force within 1.8 s whoever is silent.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -136,7 +136,7 @@
 		self:            inboundAddr.Addr().String(),
 		centre:          s.GetCentre(),
 		ineligiblePeers: table.New[string, time.Time](lock.Members),
-		roster:          newRoster(d.state.fleet, inboundAddr.Addr().String(), s.GetCentre()),
+		roster:          newRoster(d.state.fleet, inboundAddr.Addr().String(), s.GetCentre(), now),
 	}
 	d.gossiper = &gossiper{
 		fleetState: d.state,
@@ -154,6 +154,7 @@
 	d.currentSettings.Store(s)
 	d.admission.reportCrash = d.gossiper.broadcastCrash
 	d.watcher.onStoreUnreachable = d.gossiper.syncCentre
+	d.watcher.onTakeover = d.gossiper.syncCentre
 	balancer := upstream.NewBalancer(upstream.LatencyCost{}, inboundAddr.Addr().String(), s.GetCentre())
 	d.detector = &failureDetector{
 		ctx: ctx, balancer: balancer, events: d.events,
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -20,6 +20,7 @@
 	m.SetAge(g.reportedAge(time.Now()).Microseconds())
 	m.SetAway(g.watcher.ineligible())
 	m.SetLeaving(g.watcher.leaving.Load())
+	m.SetReading(g.watcher.reading.Load())
 	return m
 }
 
@@ -98,7 +99,7 @@
 	if m.GetFrom() == "" {
 		return false
 	}
-	g.watcher.roster.heard(now, m.GetFrom())
+	g.watcher.roster.heard(now, m.GetFrom(), m.GetReading())
 	g.watcher.roster.introduce(now, m.GetDaemons())
 	g.watcher.recordEligibility(now, m.GetFrom(), m.GetAway())
 	g.limiter.recordMessage(now, m.GetFrom(), m.GetLeaving())
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -165,22 +166,43 @@
 	return transfer
 }
 
-// run syncs periodically with a random daemon until ctx ends.
+// run syncs periodically with a random daemon until ctx ends. A daemon that misses the readers of
+// its data centre does not wait for one that does not answer before it tries the next.
 func (g *gossiper) run() {
 	for g.ctx.Err() == nil {
 		interval := gossipInterval
 		if g.watcher.storeUnreachable.Load() {
 			interval = fastGossipInterval
 		}
-		sleep(g.ctx, interval-interval/8+time.Duration(rand.Int64N(int64(interval/4)))) //nolint:gosec // not security-relevant
+		interval += time.Duration(rand.Int64N(int64(interval/4))) - interval/8 //nolint:gosec // not security-relevant
+		if left := readerTimeout - g.watcher.roster.sinceReader(time.Now()); left+fastGossipInterval > 0 {
+			interval = min(interval, left+fastGossipInterval)
+		} else {
+			interval = min(interval, fastGossipInterval)
+		}
+		sleep(g.ctx, interval)
+		if g.watcher.missesReaders(time.Now()) {
+			g.events.spawn(g.gossipOnce)
+			continue
+		}
 		g.gossipOnce()
 	}
 }
 
 // gossipOnce syncs with one random daemon of any data centre, or with a seed if no
-// other daemon is known.
+// other daemon is known. If the readers of this data centre are missing, it chooses a
+// daemon of another one that answers.
 func (g *gossiper) gossipOnce() {
-	if hosts := g.otherHosts(); len(hosts) > 0 {
+	hosts := g.otherHosts()
+	if g.watcher.missesReaders(time.Now()) {
+		remote := slices.DeleteFunc(slices.Clone(hosts), func(h fleet.Host) bool {
+			return h.Centre() == g.centre || !g.watcher.roster.present(h.IP())
+		})
+		if len(remote) > 0 {
+			hosts = remote
+		}
+	}
+	if len(hosts) > 0 {
 		h := hosts[rand.IntN(len(hosts))] //nolint:gosec // not security-relevant
 		g.syncOnce(h.IP(), h.Centre() != g.centre)
 		return
@@ -238,9 +260,17 @@
 // daemon is one of its readers and has a current replica. This confirms that the
 // replicas of the others are current.
 func (g *gossiper) runHeartbeats() {
+	expected := make(map[string]time.Time)
 	for g.ctx.Err() == nil {
 		sleep(g.ctx, heartbeatInterval)
-		if g.watcher.readerRank() < 0 || g.reportedAge(time.Now()) > staleAfter {
+		now := time.Now()
+		if g.reportedAge(now) > staleAfter {
+			clear(expected)
+			continue
+		}
+		order := g.watcher.readerOrder()
+		g.watcher.roster.reviewReaders(now, order[:min(readersPerCentre, len(order))], expected)
+		if g.watcher.readerRank() < 0 && !g.watcher.substitutes(now) {
 			continue
 		}
 		g.syncCentre()
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -78,13 +78,14 @@
 func newPushTable() *table.Table[string, pushState] { return table.New[string, pushState](lock.Routes) }
 
 // propagate pushes changes to this daemon's children in the distribution tree
-// of the data centre, whose root is the first reader. Other readers also sync with
-// all daemons after secondaryDelay, in case some did not receive the changes.
+// of the data centre, whose root is the first reader. Other readers, and daemons that read in
+// their place, also sync with all daemons after secondaryDelay, in case some did not
+// receive the changes.
 func (g *gossiper) propagate() {
 	for _, ip := range peer.Children(g.recipients(), g.self, treeFanout) {
 		g.pushTo(ip)
 	}
-	if g.watcher.readerRank() > 0 {
+	if rank := g.watcher.readerRank(); rank > 0 || rank < 0 && g.watcher.substitutes(time.Now()) {
 		g.runDelayed(g.syncCentre)
 	}
 }
@@ -192,7 +193,7 @@
 func (g *gossiper) pushLoop(ip string, p pushState) {
 	for p.inProgress {
 		introduced := p.introduced
-		if g.watcher.readerRank() >= 0 {
+		if g.watcher.readerRank() >= 0 || g.watcher.substitutes(time.Now()) {
 			p.daemons, introduced = g.watcher.roster.introductions(introduced)
 		}
 		revision, err := g.syncPeer(ip, p, pushAttempts)
--- a/internal/sidecar/roster.go
+++ b/internal/sidecar/roster.go
@@ -10,6 +10,19 @@
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
+const (
+	// readerTimeout is the time without a message from a reader of the data centre after which
+	// others read the store in its place. Readers send one every heartbeatInterval.
+	readerTimeout = 1200 * time.Millisecond
+	// takeoverStep is the time by which each further pair of daemons waits longer, so that
+	// the first pair can announce that it reads, and maxTakeoverSteps bounds the number of steps.
+	// All daemons together have to notice well before a version has to be in force.
+	takeoverStep     = 150 * time.Millisecond
+	maxTakeoverSteps = 2
+	// silentReaderTimeout is the time without a message after which a reader loses its place.
+	silentReaderTimeout = 2500 * time.Millisecond
+)
+
 // roster tracks which hosts run a daemon that answers. An entry of the store does not show
 // that: its writer may be another one, which may add any number of them. Only daemons that have
 // sent a message, or of which one that has done so reports this, become readers and inner
@@ -17,10 +30,14 @@
 type roster struct {
 	fleet        *fleet.Fleet
 	self, centre string
+	startedAt    time.Time
 	// contacts holds the daemons that were heard or reported, by IP address, and learned is
 	// the number of times that one was added.
 	contacts *table.Table[string, contact]
 	learned  atomic.Uint64
+	// readerHeardAt is when a reader of the data centre was last heard, in nanoseconds since
+	// startedAt.
+	readerHeardAt atomic.Int64
 }
 
 // contact is what is known of a daemon.
@@ -33,14 +50,18 @@
 	silent bool
 }
 
-func newRoster(f *fleet.Fleet, self, centre string) *roster {
-	return &roster{fleet: f, self: self, centre: centre, contacts: table.New[string, contact](lock.Members)}
+func newRoster(f *fleet.Fleet, self, centre string, now time.Time) *roster {
+	return &roster{fleet: f, self: self, centre: centre, startedAt: now, contacts: table.New[string, contact](lock.Members)}
 }
 
-// heard records that a message from a daemon was received.
-func (r *roster) heard(now time.Time, ip string) {
-	if ip != r.self {
-		r.add(now, ip, true)
+// heard records that a message from a daemon was received, and whether it reads the store.
+func (r *roster) heard(now time.Time, ip string, reading bool) {
+	if ip == r.self {
+		return
+	}
+	r.add(now, ip, true)
+	if h, ok := r.fleet.Host(ip); reading && ok && h.Centre() == r.centre {
+		r.readerHeardAt.Store(int64(now.Sub(r.startedAt)))
 	}
 }
 
@@ -104,6 +125,31 @@
 	return ok && !c.silent || ip == r.self
 }
 
+// sinceReader returns the time since a reader of the data centre was last heard.
+func (r *roster) sinceReader(now time.Time) time.Duration {
+	return now.Sub(r.startedAt) - time.Duration(r.readerHeardAt.Load())
+}
+
+// reviewReaders marks those of the readers as silent that were expected to send messages for
+// silentReaderTimeout and did not. expected holds since when they are readers; it is updated.
+func (r *roster) reviewReaders(now time.Time, readers []string, expected map[string]time.Time) {
+	for ip := range expected {
+		if !slices.Contains(readers, ip) {
+			delete(expected, ip)
+		}
+	}
+	for _, ip := range readers {
+		since, ok := expected[ip]
+		if !ok {
+			expected[ip] = now
+			continue
+		}
+		if c, known := r.contacts.Get(ip); known && now.Sub(since) > silentReaderTimeout && now.Sub(c.heardAt) > silentReaderTimeout {
+			r.markSilent(ip)
+		}
+	}
+}
+
 // sweep removes daemons that are no longer published, and returns the others.
 func (r *roster) sweep(now time.Time) map[string]bool {
 	published := make(map[string]bool)
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -160,7 +160,7 @@
 	state := newFleetState(node, newEvents(node.out, node.ip, node.centre), now)
 	watcher := &storeWatcher{
 		fleetState: state, source: node, prefixes: []string{"c/", "i/"}, self: node.ip, centre: node.centre,
-		ineligiblePeers: table.New[string, time.Time](lock.Members), roster: newRoster(state.fleet, node.ip, node.centre),
+		ineligiblePeers: table.New[string, time.Time](lock.Members), roster: newRoster(state.fleet, node.ip, node.centre, now),
 	}
 	rateBound := customer.NewRateBound(5*time.Second, 0.25, 20)
 	g := &gossiper{
@@ -181,7 +181,7 @@
 	g.limiter.detector = g.detector
 
 	g.seeds.Store(&[]string{})
-	watcher.onStoreUnreachable = g.syncCentre
+	watcher.onStoreUnreachable, watcher.onTakeover = g.syncCentre, g.syncCentre
 	state.onChange = func(time.Time) {
 		g.limiter.updateMembership(time.Now())
 		g.joinFleet()
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -70,10 +70,15 @@
 	// ineligiblePeers holds the other daemons that reported either, and the time
 	// until which they are not considered as readers.
 	ineligiblePeers *table.Table[string, time.Time]
-	// fallbackUntil is the time until which this daemon reads because its
-	// replica was stale, in nanoseconds since startedAt.
+	// fallbackUntil is the time until which this daemon reads because its replica
+	// was stale or no reader was heard, in nanoseconds since startedAt.
 	fallbackUntil atomic.Int64
 	roster        *roster
+	// reading is set while this daemon reads the store.
+	reading atomic.Bool
+	// onTakeover is called when this daemon has begun to read the store in place of the
+	// readers. It tells the other daemons of the data centre, so that they need not.
+	onTakeover func()
 	// onStoreUnreachable is called when this daemon can no longer read the store. It
 	// notifies the other daemons of the data centre, so that another one becomes a
 	// reader.
@@ -93,8 +98,8 @@
 func (w *storeWatcher) run(ctx context.Context) {
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
-		if !w.shouldRead(time.Now()) {
-			sleep(ctx, roleCheckInterval)
+		if now := time.Now(); !w.shouldRead(now) {
+			sleep(ctx, min(roleCheckInterval, w.takeoverDelay()-w.roster.sinceReader(now)+time.Millisecond))
 			continue
 		}
 		err := w.listAndWatch(ctx)
@@ -116,12 +121,12 @@
 }
 
 // shouldRead reports whether this daemon has to read the store itself. If the replica is
-// stale, it starts the fallback, which lasts for fallbackDuration.
+// stale or no reader is heard, it starts the fallback, which lasts for fallbackDuration.
 func (w *storeWatcher) shouldRead(now time.Time) bool {
 	switch {
 	case w.confirmedAt.Load() == 0:
 		return true
-	case w.age(now) > staleAfter:
+	case w.age(now) > staleAfter, w.roster.sinceReader(now) > w.takeoverDelay() && !w.reading.Load():
 		w.fallbackUntil.Store(int64(now.Add(fallbackDuration).Sub(w.startedAt)))
 		return true
 	case w.storeUnreachable.Load() && !w.isPreferredReader():
@@ -129,12 +134,21 @@
 		// it has to read.
 		w.storeUnreachable.Store(false)
 		return false
-	case w.storeUnreachable.Load(), now.Sub(w.startedAt) < time.Duration(w.fallbackUntil.Load()):
+	case w.storeUnreachable.Load(), w.inFallback(now):
 		return true
 	}
 	return w.readerRank() >= 0
 }
 
+// inFallback reports whether this daemon reads because its replica was stale or no reader was
+// heard.
+func (w *storeWatcher) inFallback(now time.Time) bool {
+	return now.Sub(w.startedAt) < time.Duration(w.fallbackUntil.Load())
+}
+
+// substitutes reports whether this daemon reads the store in place of the readers.
+func (w *storeWatcher) substitutes(now time.Time) bool { return w.reading.Load() && w.inFallback(now) }
+
 // readerRank returns this daemon's index among the readers of its data centre,
 // or -1 if it is not a reader. It returns 0 if no daemon is known that can be one.
 func (w *storeWatcher) readerRank() int {
@@ -145,6 +159,22 @@
 	return slices.Index(order[:min(readersPerCentre, len(order))], w.self)
 }
 
+// takeoverDelay returns the time without a message from a reader after which this daemon reads
+// in its place. It depends on the daemon's rank, so that the first ones can say that they do.
+func (w *storeWatcher) takeoverDelay() time.Duration {
+	step := maxTakeoverSteps
+	if i := slices.Index(w.readerOrder(), w.self); i >= 0 {
+		step = min(max(i/readersPerCentre-1, 0), maxTakeoverSteps)
+	}
+	return readerTimeout + time.Duration(step)*takeoverStep
+}
+
+// missesReaders reports whether no reader of the data centre is heard, so that the daemon has to
+// look after its replica itself.
+func (w *storeWatcher) missesReaders(now time.Time) bool {
+	return w.roster.sinceReader(now) > readerTimeout && !w.reading.Load()
+}
+
 // isPreferredReader reports whether this daemon is a reader when all daemons of
 // its data centre can read the store.
 func (w *storeWatcher) isPreferredReader() bool {
@@ -180,6 +210,7 @@
 // listAndWatch lists the store if the replica is empty and then watches it while
 // shouldRead returns true.
 func (w *storeWatcher) listAndWatch(ctx context.Context) error {
+	defer w.reading.Store(false)
 	if w.replica.Revision() == 0 {
 		// The list may be stale. The watch that follows returns the changes
 		// that it lacks.
@@ -257,7 +288,11 @@
 	now := time.Now()
 	w.storeUnreachable.Store(false)
 	w.confirmCurrent(now)
+	takeover := !w.reading.Swap(true) && w.roster.sinceReader(now) > readerTimeout
 	w.applyChanges(now, w.filterByPrefix(items), after, revision)
+	if takeover {
+		w.onTakeover()
+	}
 	return nil
 }
 
