Read in place of silent readers for 3 s

A daemon that heard no reader for 1.2 s read the store for 10 s, though a reader that is silent loses its place after 2.5 s. It now reads until half a second after that.

--- a/internal/sidecar/roster.go
+++ b/internal/sidecar/roster.go
@@ -21,6 +21,9 @@
 	maxTakeoverSteps = 2
 	// silentReaderTimeout is the time without a message after which a reader loses its place.
 	silentReaderTimeout = 2500 * time.Millisecond
+	// takeoverDuration is how long a daemon reads in place of a reader that it did not hear. By
+	// then the reader has lost its place, unless its messages were only late.
+	takeoverDuration = silentReaderTimeout + 500*time.Millisecond
 )
 
 // roster tracks which hosts run a daemon that answers. An entry of the store does not show
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -121,14 +121,17 @@
 }
 
 // shouldRead reports whether this daemon has to read the store itself. If the replica is
-// stale or no reader is heard, it starts the fallback, which lasts for fallbackDuration.
+// stale or no reader is heard, it starts the fallback.
 func (w *storeWatcher) shouldRead(now time.Time) bool {
 	switch {
 	case w.confirmedAt.Load() == 0:
 		return true
-	case w.age(now) > staleAfter, w.roster.sinceReader(now) > w.takeoverDelay() && !w.reading.Load():
+	case w.age(now) > staleAfter:
 		w.fallbackUntil.Store(int64(now.Add(fallbackDuration).Sub(w.startedAt)))
 		return true
+	case w.roster.sinceReader(now) > w.takeoverDelay() && !w.reading.Load():
+		w.fallbackUntil.Store(int64(now.Add(takeoverDuration).Sub(w.startedAt)))
+		return true
 	case w.storeUnreachable.Load() && !w.isPreferredReader():
 		// Other daemons read the store. Whether this one can is determined only when
 		// it has to read.
