Name the readers of a data centre once

The first readers of an order were cut out in four places, and 'reader, or reading in its place' was spelled out in two; firstReaders and distributes now serve them. shouldRead asks missesReaders instead of repeating half of it, which also saves ranking the daemons while a reader is heard. A push determines the rank only if there are daemons to report: a reader's heartbeat did it once for each daemon of its data centre. stop.Plan loses a field that nothing read. No change of behaviour.

--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -268,9 +268,8 @@
 			clear(expected)
 			continue
 		}
-		order := g.watcher.readerOrder()
-		g.watcher.roster.reviewReaders(now, order[:min(readersPerCentre, len(order))], expected)
-		if g.watcher.readerRank() < 0 && !g.watcher.substitutes(now) {
+		g.watcher.roster.reviewReaders(now, firstReaders(g.watcher.readerOrder()), expected)
+		if !g.watcher.distributes(now) {
 			continue
 		}
 		g.syncCentre()
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -108,7 +108,7 @@
 func (g *gossiper) recheckPeers(from string) {
 	order := g.recipients()
 	i := slices.Index(order, g.self)
-	if i > 0 && order[(i-1)/treeFanout] == from || slices.Contains(order[:min(readersPerCentre, len(order))], from) {
+	if i > 0 && order[(i-1)/treeFanout] == from || slices.Contains(firstReaders(order), from) {
 		return
 	}
 	g.runDelayed(func() {
@@ -123,8 +123,8 @@
 
 // recipients returns the daemons of the data centre in the order of the
 // distribution tree: readers first, then those that do not answer, and last those whose
-// instance is no longer published. Such a daemon may still be running and has to receive changes, above
-// all the removal of its own instance.
+// instance is no longer published. Such a daemon may still be running and has to receive
+// changes, above all the removal of its own instance.
 func (g *gossiper) recipients() []string {
 	order := g.watcher.readerOrder()
 	eligible := make(map[string]bool, len(order))
@@ -193,7 +193,8 @@
 func (g *gossiper) pushLoop(ip string, p pushState) {
 	for p.inProgress {
 		introduced := p.introduced
-		if g.watcher.readerRank() >= 0 || g.watcher.substitutes(time.Now()) {
+		// Most pushes have nothing to report, so the rank is not determined for them.
+		if g.watcher.roster.learned.Load() != introduced && g.watcher.distributes(time.Now()) {
 			p.daemons, introduced = g.watcher.roster.introductions(introduced)
 		}
 		revision, err := g.syncPeer(ip, p, pushAttempts)
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -129,7 +129,7 @@
 	case w.age(now) > staleAfter:
 		w.fallbackUntil.Store(int64(now.Add(fallbackDuration).Sub(w.startedAt)))
 		return true
-	case w.roster.sinceReader(now) > w.takeoverDelay() && !w.reading.Load():
+	case w.missesReaders(now) && w.roster.sinceReader(now) > w.takeoverDelay():
 		w.fallbackUntil.Store(int64(now.Add(takeoverDuration).Sub(w.startedAt)))
 		return true
 	case w.storeUnreachable.Load() && !w.isPreferredReader():
@@ -159,7 +159,13 @@
 	if len(order) == 0 {
 		return 0
 	}
-	return slices.Index(order[:min(readersPerCentre, len(order))], w.self)
+	return slices.Index(firstReaders(order), w.self)
+}
+
+// distributes reports whether this daemon reads the store for its data centre, as one of the
+// readers or in their place, and so sends changes and heartbeats to the others.
+func (w *storeWatcher) distributes(now time.Time) bool {
+	return w.substitutes(now) || w.readerRank() >= 0
 }
 
 // takeoverDelay returns the time without a message from a reader after which this daemon reads
@@ -182,11 +188,14 @@
 // its data centre can read the store.
 func (w *storeWatcher) isPreferredReader() bool {
 	order := w.rankDaemons(func(string) bool { return true })
-	return len(order) == 0 || slices.Contains(order[:min(readersPerCentre, len(order))], w.self)
+	return len(order) == 0 || slices.Contains(firstReaders(order), w.self)
 }
 
+// firstReaders returns the readers among the daemons in an order of preference.
+func firstReaders(order []string) []string { return order[:min(readersPerCentre, len(order))] }
+
 // readerOrder returns the daemons of the data centre that can be readers, in the
-// order of preference. The first readersPerCentre of them are the readers.
+// order of preference.
 func (w *storeWatcher) readerOrder() []string {
 	now := time.Now()
 	return w.rankDaemons(func(ip string) bool {
--- a/internal/stop/plan.go
+++ b/internal/stop/plan.go
@@ -18,10 +18,8 @@
 // Plan holds the times of a planned stop, by the clock of a suspend.Monitor. Use NewPlan to
 // create one.
 type Plan struct {
-	monitor     *suspend.Monitor
-	delay       time.Duration
-	begin, last time.Time
-	exit        time.Time
+	delay             time.Duration
+	begin, last, exit time.Time
 }
 
 // NewPlan returns the plan of a process that handles the signal to stop now. The grace time
@@ -31,7 +29,7 @@
 	delay := min(m.Delay(), grace/2)
 	begin := m.Now().Add(-delay)
 	exit := begin.Add(grace - exitBeforeEnd)
-	return Plan{monitor: m, delay: delay, begin: begin, last: exit.Add(-answerBeforeExit), exit: exit}
+	return Plan{delay: delay, begin: begin, last: exit.Add(-answerBeforeExit), exit: exit}
 }
 
 // Delay returns how late the signal may have been handled.
