--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -69,7 +69,7 @@
 // here is refused.
 func (d *daemon) admit(r *request, redirectable bool, reply func(upstream.Attempt)) {
 	sim := d.sim
-	priority := backend.NewPriority(r.nested, 0, int(r.class.GetPriority()))
+	priority := caller.NewPriority(r.nested, 0, int(r.class.GetPriority()))
 	submitted := backend.NewRequest(priority, r.class.GetName(), r.objective, r.deadline)
 	j := &job{request: r, daemon: d, reply: reply}
 	entry, state, retryAfter := d.queue.Submit(sim.now, submitted, redirectable)
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -10,7 +10,6 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/suspend"
-	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
@@ -74,7 +73,7 @@
 		service:       m.GetService(),
 		route:         m.GetRoute(),
 		customer:      m.GetCustomer(),
-		priority:      backend.NewPriority(m.GetNested(), int(m.GetCustomerRank()), int(m.GetRouteRank())),
+		priority:      caller.NewPriority(m.GetNested(), int(m.GetCustomerRank()), int(m.GetRouteRank())),
 		atMostOnce:    m.GetOnce(),
 		fingerprint:   m.GetFingerprint(),
 		deadline:      now.Add(time.Duration(m.GetTimeout()) * time.Microsecond),
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -17,7 +17,6 @@
 	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/suspend"
-	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/pkg/workers"
@@ -170,7 +169,7 @@
 	}
 	decision.customer = customer
 	decision.request.customer = customer.Name()
-	decision.request.priority = backend.NewPriority(!known, customer.Priority(), route.Priority())
+	decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
 	return decision
 }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -9,7 +9,6 @@
 	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/suspend"
-	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
@@ -23,7 +22,7 @@
 	body                 body
 	service, route       string
 	customer             string
-	priority             backend.Priority
+	priority             caller.Priority
 	atMostOnce           bool
 	fingerprint          uint64
 	deadline, objective  time.Time
--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -118,7 +118,7 @@
 	if redirectable {
 		return max(0, time.Duration(float64(r.objective.Sub(now))*redirectWaitShare))
 	}
-	if r.priority.nested {
+	if r.priority.Nested() {
 		return r.deadline.Sub(now) - work
 	}
 	late := time.Duration(float64(r.deadline.Sub(now)) * lateWaitShare)
@@ -182,7 +182,7 @@
 func (q *Queue[W]) deferLate(now time.Time) {
 	kept := q.waiting[:0]
 	for _, e := range q.waiting {
-		if !e.request.priority.nested && now.Add(q.classMeans[e.request.class]).After(e.request.objective) {
+		if !e.request.priority.Nested() && now.Add(q.classMeans[e.request.class]).After(e.request.objective) {
 			q.late = append(q.late, e)
 			continue
 		}
--- a/pkg/backend/queue_test.go
+++ b/pkg/backend/queue_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/fuzz"
 	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // TestQueue runs scripts against one queue. The name of a request begins with its
@@ -70,12 +71,12 @@
 	}
 }
 
-func priority(name string) backend.Priority {
+func priority(name string) caller.Priority {
 	route := 1
 	if name[0] == 'u' {
 		route = 0
 	}
-	return backend.NewPriority(name[0] == 'n', 0, route)
+	return caller.NewPriority(name[0] == 'n', 0, route)
 }
 
 func duration(t *testing.T, text string) time.Duration {
@@ -120,7 +121,7 @@
 			}
 		}
 		for range rapid.IntRange(0, 3).Draw(t, "arrivals") {
-			e, _, _ := q.Submit(now, backend.NewRequest(backend.NewPriority(false, 0, 0), "a", now.Add(time.Second), now.Add(2*time.Second)), false)
+			e, _, _ := q.Submit(now, backend.NewRequest(caller.NewPriority(false, 0, 0), "a", now.Add(time.Second), now.Add(2*time.Second)), false)
 			waiting = append(waiting, e)
 		}
 		runs = slices.DeleteFunc(runs, func(r run) bool {
@@ -227,9 +228,9 @@
 		s.urgentTotal++
 	}
 	if !s.fifo {
-		priority := backend.NewPriority(false, 0, 1)
+		priority := caller.NewPriority(false, 0, 1)
 		if urgent {
-			priority = backend.NewPriority(false, 0, 0)
+			priority = caller.NewPriority(false, 0, 0)
 		}
 		r.entry, _, _ = s.q.Submit(s.now, backend.NewRequest(priority, "a", r.objective, r.deadline), false)
 	}
@@ -286,8 +287,8 @@
 	q := backend.NewQueue(backend.NewSlotWindow(1), backend.NewRateLimiter(1.5, 5))
 	now := time.Unix(0, 0)
 	in := func(d time.Duration) time.Time { return now.Add(d) }
-	plain := backend.NewRequest(backend.NewPriority(false, 0, 2), "read", in(time.Second), in(2*time.Second))
-	urgent := backend.NewRequest(backend.NewPriority(false, 0, 0), "read", in(time.Second), in(2*time.Second))
+	plain := backend.NewRequest(caller.NewPriority(false, 0, 2), "read", in(time.Second), in(2*time.Second))
+	urgent := backend.NewRequest(caller.NewPriority(false, 0, 0), "read", in(time.Second), in(2*time.Second))
 	first, _, _ := q.Submit(now, plain, false)
 	second, _, _ := q.Submit(now, plain, false)
 	third, _, _ := q.Submit(now, urgent, false)
