--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -169,7 +169,7 @@
 		balancer:     balancer,
 		admission:    d.admission,
 		peers:        d.peers,
-		resendBudget: caller.NewResendBudget(bounds.GetRetryRatio(), bounds.GetRetrySlack(), bounds.GetRetryWindow().AsDuration()),
+		resendBudget: newResendBudget(bounds),
 		fleetShare:   d.gossiper.fleetShare,
 	}
 	d.limiter = &rateLimiter{
@@ -178,6 +178,7 @@
 		self:         inboundAddr.Addr().String(),
 		centre:       s.GetCentre(),
 		centreCount:  len(s.GetCentres()),
+		unlimited:    bounds.GetQuotaWindow().AsDuration() <= 0,
 		quota:        customer.NewQuota(rateBound),
 		allocator:    customer.NewAllocator(rateBound, firstStart),
 		tokenCache:   customer.NewTokenCache(),
@@ -206,7 +207,6 @@
 }
 
 func (d *Daemon) newAdmission(p Protocol, address fleet.Address) *admission {
-	bounds := d.settings.GetBounds()
 	return &admission{
 		fleetState: d.state,
 		protocol:   p,
@@ -214,7 +214,7 @@
 		service:    d.settings.GetService(),
 		centre:     d.settings.GetCentre(),
 		address:    address,
-		queue:      backend.NewQueue(backend.NewSlotWindow(initialSlots), backend.NewRateLimiter(bounds.GetColdOver(), bounds.GetColdSlack())),
+		queue:      backend.NewQueue(backend.NewSlotWindow(initialSlots), newColdLimiter(d.settings.GetBounds())),
 		client:     http1.NewClient(address.String(), backendDialTimeout, maxIdleBackendConns).WithBudget(d.budget),
 		budget:     d.budget,
 		quarantine: backend.NewQuarantine(),
@@ -223,6 +223,33 @@
 	}
 }
 
+const (
+	// minRetryWindow is the shortest window of a resend budget.
+	minRetryWindow = 10 * time.Nanosecond
+	// unlimitedColdOver is the ratio of a cold limit that never applies: no backend server
+	// states a rate so low that its product with this ratio is reached.
+	unlimitedColdOver = 1e9
+)
+
+// newResendBudget returns the budget for the fleet's bound, or one that allows no resends if
+// there is no bound.
+func newResendBudget(b *schema.Bounds) *caller.ResendBudget {
+	window := b.GetRetryWindow().AsDuration()
+	if window < minRetryWindow {
+		return caller.NewResendBudget(0, 0, minRetryWindow)
+	}
+	return caller.NewResendBudget(b.GetRetryRatio(), b.GetRetrySlack(), window)
+}
+
+// newColdLimiter returns the limit for a cold backend server, or one that never applies if
+// there is no bound.
+func newColdLimiter(b *schema.Bounds) backend.RateLimiter {
+	if !b.HasColdOver() {
+		return backend.NewRateLimiter(unlimitedColdOver, unlimitedColdOver)
+	}
+	return backend.NewRateLimiter(b.GetColdOver(), b.GetColdSlack())
+}
+
 // seedIPs returns the IP addresses of the seeds in the settings.
 func seedIPs(s *schema.Sidecar) []string {
 	var ips []string
--- a/internal/sidecar/rate_limiter.go
+++ b/internal/sidecar/rate_limiter.go
@@ -30,6 +30,9 @@
 	// maxWaitFraction bounds each of these two waits to a fraction of the time that
 	// remains until the request's deadline.
 	maxWaitFraction = 0.2
+	// unlimitedValidity is how long tokens of a daemon without limits may be spent, as long as
+	// those of a limit.
+	unlimitedValidity = 300 * time.Millisecond
 	// leavingTTL is how long a daemon is treated as leaving after it announced that
 	// it stops, unless a later message withdraws this.
 	leavingTTL = 6 * time.Second
@@ -59,11 +62,14 @@
 	self, centre string
 	// centreCount is the number of data centres.
 	centreCount int
-	quota       *customer.Quota
-	allocator   *customer.Allocator
-	tokenCache  *customer.TokenCache
-	ctx         context.Context //nolint:containedctx // the daemon's context, for background work
-	detector    *failureDetector
+	// unlimited states that customers have no limits, since the settings state no window for
+	// them.
+	unlimited  bool
+	quota      *customer.Quota
+	allocator  *customer.Allocator
+	tokenCache *customer.TokenCache
+	ctx        context.Context //nolint:containedctx // the daemon's context, for background work
+	detector   *failureDetector
 	// newMessage returns a control message to send, and receive processes a received
 	// one.
 	newMessage func() *schema.Exchange
@@ -242,6 +248,9 @@
 
 // allow decides whether a request of a customer is within its limit.
 func (l *rateLimiter) allow(ctx context.Context, name string) limitDecision {
+	if l.unlimited {
+		return limitDecision{}
+	}
 	now := time.Now()
 	t := l.tokenCache.Take(now, name)
 	switch {
@@ -362,9 +371,13 @@
 // handleTokenRequest answers another daemon's request for tokens.
 func (l *rateLimiter) handleTokenRequest(now time.Time, r *schema.TokenRequest) *schema.TokenGrant {
 	var g loan
-	if r.GetReserve() {
+	switch {
+	case l.unlimited:
+		// Its settings differ from those of the other daemon, which are about to change.
+		g = loan{Grant: customer.NewGrant(int(r.GetTokens()), unlimitedValidity, 0)}
+	case r.GetReserve():
 		g = l.lendReserve(now, r.GetCustomer())
-	} else {
+	default:
 		g = l.lend(l.ctx, now, r.GetCustomer(), int(r.GetTokens()))
 	}
 	m := schema.TokenGrant_builder{
@@ -397,7 +410,7 @@
 
 // renewLeases records the demand reported by a daemon and returns its new leases.
 func (l *rateLimiter) renewLeases(now time.Time, m *schema.Exchange) []*schema.Share {
-	if !m.GetSplit() {
+	if !m.GetSplit() || l.unlimited {
 		return nil
 	}
 	var leases []*schema.Share
