Ask the health check when a data centre returns to service

Cause: after an evacuation ended, each daemon of the data centre treated its backend server as cold for the whole warm-up without asking it. The servers were warm, and in the two seconds after the return more than half of the reads of the data centre were refused.

Change: the daemon proceeds as after its own restart: cold until the health check has answered, then as X-Warmup-Ms says. A backend server that is cold, or does not answer the check, keeps the limit. Deployments whose services have no warm-up, and those without evacuations, are not touched.

--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -43,8 +43,10 @@
 	tickTimer *time.Timer
 }
 
-// refreshStatus applies the published slot count and warm-up of the backend server, and
-// treats the backend server as cold after its data centre has returned to service.
+// refreshStatus applies the published slot count and warm-up of the backend server. After its
+// data centre has returned to service, the backend server may have restarted unnoticed. It is
+// treated as cold until its health check says otherwise: most are warm, and all callers of the
+// data centre come back to them within a moment.
 func (a *admission) refreshStatus(now time.Time) {
 	if a.config.Load() == nil {
 		return
@@ -59,7 +61,7 @@
 	a.status.restoredAt = restoredAt
 	a.status.mu.Unlock()
 	if restored {
-		a.setCold(now, restoredAt.Add(a.warmup()))
+		a.assumeCold(now)
 	}
 }
 
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -161,6 +161,9 @@
 	if r.URL.Path == "/health" {
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		if b.fault == "mute" {
+			panic(http.ErrAbortHandler)
+		}
 		w.Header().Set("X-Instance-Id", b.id)
 		if b.cold > 0 {
 			w.Header().Set("X-Warmup-Ms", strconv.FormatInt(b.cold.Milliseconds(), 10))
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -244,9 +244,12 @@
 		n, _ := strconv.Atoi(args[1])
 		text := fmt.Sprintf(configFormat, n, callerKey)
 		f.store.put("op/config", strings.ReplaceAll(text, `"max-connections":50`, `"max-connections":50,"warmup-s":3,"warmup-per-s":5`), false)
-	case "cold":
+	case "cold", "warm": // cold m1: health checks of its backend server report a warm-up from now on
 		f.backends[args[1]].mu.Lock()
-		f.backends[args[1]].cold = 3 * time.Second
+		f.backends[args[1]].cold = 0
+		if args[0] == "cold" {
+			f.backends[args[1]].cold = 3 * time.Second
+		}
 		f.backends[args[1]].mu.Unlock()
 	case "restart": // restart m1 service centre: kills the daemon and starts it again
 		_ = f.daemons[args[1]].Close()
