Treat a response with an invalid status line as lost

Cause: the client reads responses with http.ReadResponse, which accepts any status of three characters, any version and control bytes in the reason. A status of 000 counted as below 200 and so as interim: the response was skipped, and what followed it was taken for the response to the request. 600, HTTP/0.9, HTTP/2.0 and a NUL in the reason were passed on.

Change: package wirecheck follows the bytes of a connection on their way to the parser and fails with the error of a broken connection. It checks the status line of each message, interim ones included, and finds the end of each message as net/http does. A Transfer-Encoding in a response of HTTP/1.0 is an error, as RFC 9112 (6.1) asks: the body was delivered with the sizes of its chunks. The end of a malformed section is withheld from the parser, but not the first byte of a message, since net/http sends a request again if a kept connection ends before the first byte of a response.

Result: TestMalformedResponse on the old code: HTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody 200 "body" HTTP/1.1 600 None\r\nContent-Length: 4\r\n\r\nbody 600 "body" HTTP/2.0 200 OK\r\nContent-Length: 4\r\n\r\nbody 200 "body" HTTP/1.1 200 O\x00K\r\nContent-Length: 4\r\n\r\nbody 200 "body" All of these are lost now.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -9,8 +9,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/lycheehead/lycheehead/internal/wirecheck"
 )
 
 // bufferBytes is the size of each buffer of a connection.
@@ -18,7 +19,7 @@
 
 // conn is a connection to the server. It is used by one request at a time.
 type conn struct {
-	net.Conn
+	*wirecheck.Conn
 	head   *headReader
 	budget *Budget
 	// r and w are nil while the connection is idle.
@@ -46,7 +47,8 @@
 	return n, err //nolint:wrapcheck // wrapped by the caller
 }
 
-func newConn(c net.Conn, b *Budget) *conn {
+func newConn(raw net.Conn, b *Budget) *conn {
+	c := wirecheck.NewConn(raw)
 	written := &countingWriter{w: c}
 	head := &headReader{src: c}
 	return &conn{
@@ -85,11 +87,7 @@
 // unsolicited bytes belong to no request. It may be called while another goroutine
 // uses the connection.
 func (c *conn) healthy() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -107,6 +105,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.requests++
+	c.Begin(r.method)
 	withheld := r.expectContinue && r.hasBody()
 	if !withheld && !r.commit() {
 		return nil, false, fmt.Errorf("%w: %w", ErrNotSent, errNotCommitted)
