Treat a response with a malformed field as lost

Cause: net/textproto accepts field names that contain blanks, and keeps them under that name: "Transfer-Encoding : chunked" beside Content-Length had no effect, so the client delivered 4 bytes of the encoded body, "Content-Length :" made a body end with its connection, and "X Y:" was passed on. It joins lines that continue a field with the field. The same holds for interim responses, trailers, and the heads of responses to HEAD.

Change: wirecheck checks the fields of all these sections: names are tokens (httpguts.IsTokenRune) up to the colon, values have no control bytes, a CR is followed by a LF, and no line continues another one. RFC 9112 (5.2) lets a proxy replace such a continuation by blanks or discard the message; it is discarded, as other recipients may see another field in it.

--- a/internal/wirecheck/checker.go
+++ b/internal/wirecheck/checker.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed means that a message is not a valid response.
@@ -127,7 +128,7 @@
 // step checks one byte that is not part of a body.
 func (c *Checker) step(b byte) error {
 	switch {
-	case c.cr && b != '\n' && (c.state == inStatus || c.state == inReason):
+	case c.cr && b != '\n':
 		return malformed("CR without LF")
 	case b == '\r':
 		c.cr = true
@@ -147,7 +148,7 @@
 	case atChunk:
 		return c.sizeByte(b)
 	}
-	if c.state == inReason && !isText(b) {
+	if !isText(b) {
 		return malformed("control byte 0x%02x", b)
 	}
 	if c.keeps {
@@ -190,13 +191,16 @@
 }
 
 func (c *Checker) nameByte(b byte) error {
-	if b == ':' {
+	if b == ':' && c.at > 0 {
 		c.state = inValue
 		name := c.name[:min(c.at, len(c.name))]
 		c.keeps = !c.inTrailer && c.at <= len(c.name) && (string(name) == contentLength || string(name) == transferEncoding)
 		c.value = c.kept[:0]
 		return nil
 	}
+	if !isToken[b] {
+		return malformed("byte 0x%02x in a field name", b)
+	}
 	if c.at < len(c.name) {
 		// Of the bytes of tokens, only letters become letters by this.
 		c.name[c.at] = b | 0x20
@@ -316,6 +320,14 @@
 	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
 }
 
+// isToken states which bytes may be in a field name.
+var isToken = func() (table [256]bool) {
+	for b := range table {
+		table[b] = httpguts.IsTokenRune(rune(b))
+	}
+	return table
+}()
+
 // isText reports whether a byte may be in a reason or a field value.
 func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
 
