Treat a response as lost if its connection ends during the upload

Cause: a body without a length ends where its connection ends. A socket reports its error once. If the goroutine that writes the body of the request meets the reset, the reader sees an ordinary end and takes the part that it has for the whole. The same holds if the server ends its side of the connection while the upload is being written.

A response that says where it ends stays complete whatever becomes of the upload.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -133,9 +133,16 @@
 	}
 	small := r.rest == nil && len(r.prefix) <= bufferBytes
 	if r.hasBody() && !small {
-		go func() { bodySent <- r.writeBody(c.w) }()
+		c.Sending()
+		go func() {
+			err := r.writeBody(c.w)
+			c.Sent(err)
+			bodySent <- err
+		}()
 	} else {
+		c.Sending()
 		err := c.sendSmallBody(r)
+		c.Sent(err)
 		if err != nil && c.written.n == before {
 			return nil, false, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
--- a/internal/http1/response_test.go
+++ b/internal/http1/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -106,3 +107,56 @@
 		return out.String()
 	})
 }
+
+// slowBody is a body that arrives slowly from elsewhere.
+type slowBody struct{ pause time.Duration }
+
+// Read implements io.Reader.
+func (b slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.pause)
+	return min(len(p), 100), nil
+}
+
+// TestPartialResponse guards against a part of a response that is taken for the whole of it since
+// the error of the connection was met by the goroutine that writes the body of the request (MIXED).
+// The command says how the server ends the connection, and whether it reads the body (drain).
+// The body is in memory (memory), comes from elsewhere (source), in chunks (chunks), or slower than
+// the response (slow).
+func TestPartialResponse(t *testing.T) {
+	datadriven.RunTest(t, "testdata/partial", func(t *testing.T, d *datadriven.TestData) string {
+		var size, requests int
+		var body string
+		d.ScanArgs(t, "size", &size)
+		d.ScanArgs(t, "requests", &requests)
+		d.ScanArgs(t, "body", &body)
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			s := serveRaw(t, strings.ReplaceAll(line, "BODY", strings.Repeat("b", 700)), d.Cmd, d.HasArg("drain"))
+			c := http1.NewClient(s.listener.Addr().String(), time.Second, 1)
+			results := make(map[string]int)
+			for range requests {
+				r := http1.NewRequest(http.MethodPost, "/", "example", nil)
+				switch body {
+				case "memory":
+					r.SetBody(make([]byte, size), nil, int64(size))
+				case "source":
+					r.SetBody([]byte("head"), bytes.NewReader(make([]byte, size)), int64(size)+4)
+				case "chunks":
+					r.SetBody(nil, bytes.NewReader(make([]byte, size)), -1)
+				case "slow":
+					r.SetBody(nil, slowBody{pause: 20 * time.Millisecond}, int64(size))
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				resp, err := c.Do(ctx, r)
+				cancel()
+				result := formatResult(resp, err)
+				if err == nil {
+					result = fmt.Sprintf("%d with %d bytes", resp.Status(), len(resp.Body()))
+				}
+				results[result]++
+			}
+			fmt.Fprintf(&out, "%s: %v on %d connections\n", line, results, c.Dials())
+		}
+		return out.String()
+	})
+}
