Check the responses of backend servers in run, too

Cause: the client of run reads through net/http.Transport, which accepts what http.ReadResponse accepts, also in interim responses and trailers, and takes the end of the connection for the end of a body although its own goroutine is still writing the upload. A status of 000 was passed on as the status of the response.

Change: the connections of backendhttp are checked by wirecheck. A trace tells each connection the method of its request and when that has been written. As run streams bodies, a fault behind the head ends the response as broken off.

--- a/internal/backendhttp/client.go
+++ b/internal/backendhttp/client.go
@@ -15,6 +15,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"github.com/lycheehead/lycheehead/internal/wirecheck"
 )
 
 const (
@@ -109,6 +111,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { use.begin(i.Conn) },
 	})
+	ctx = wirecheck.Trace(ctx, r.method)
 	req, err := http.NewRequestWithContext(ctx, r.method, "http://"+c.address+r.target, nil)
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w: %w", ErrNotSent, err)
@@ -241,12 +244,12 @@
 		return nil, fmt.Errorf("dial backend server: %w", err)
 	}
 	t.open.Add(1)
-	return &trackedConn{Conn: c, tracker: t}, nil
+	return &trackedConn{Conn: wirecheck.NewConn(c), tracker: t}, nil
 }
 
 // trackedConn is a connection that notifies its tracker when either side closes it.
 type trackedConn struct {
-	net.Conn
+	*wirecheck.Conn
 	tracker *connTracker
 	closed  atomic.Bool
 	// written counts the bytes written.
