--- a/internal/adminhttp/handler.go
+++ b/internal/adminhttp/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/daemon"
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/internal/wirecheck"
 )
 
 const (
@@ -65,7 +66,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
-	resp, err := httpc.NewService(clientName).DoRequest(req)
+	client := &http.Client{Transport: wirecheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true})}
+	resp, err := httpc.NewServiceWithClient(clientName, client).DoRequest(req)
 	if err != nil {
 		return nil, fmt.Errorf("request status: %w", err)
 	}
--- a/internal/platformhttp/client.go
+++ b/internal/platformhttp/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/internal/wirecheck"
 )
 
 // Keys and header fields of the platform.
@@ -72,7 +73,8 @@
 func New(addresses []string) *Client {
 	// The caller limits the rate of requests, not the library's circuit breaker.
 	breaker.NoBreakerFor(clientName)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	transport := wirecheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute})
+	client := &http.Client{Transport: transport}
 	return &Client{addresses: addresses, service: httpc.NewServiceWithClient(clientName, client)}
 }
 
--- a/internal/wirecheck/conn.go
+++ b/internal/wirecheck/conn.go
@@ -1,12 +1,10 @@
 package wirecheck
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http/httptrace"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -141,42 +139,3 @@
 	}
 	return raw, nil
 }
-
-// Dial is for http.Transport.DialContext. Requests on its connections must have a context of Trace.
-func Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err //nolint:wrapcheck // net/http wraps it
-	}
-	return NewConn(c), nil
-}
-
-// requestConn is a Conn, or one that embeds it.
-type requestConn interface {
-	Begin(method string)
-	Sending()
-	Sent(err error)
-}
-
-// Trace returns a context by which net/http tells connections of this package which request they
-// carry and when it has been sent.
-func Trace(ctx context.Context, method string) context.Context {
-	var current atomic.Pointer[requestConn]
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			c, ok := i.Conn.(requestConn)
-			if !ok {
-				return
-			}
-			c.Begin(method)
-			c.Sending()
-			current.Store(&c)
-		},
-		WroteRequest: func(i httptrace.WroteRequestInfo) {
-			if c := current.Load(); c != nil {
-				(*c).Sent(i.Err)
-			}
-		},
-	})
-}
