Check the replies of other daemons over QUIC

Cause: the header fields and the status of a response reach other daemons in a message (schema.Reply) and were passed to the caller as they came. A daemon of an earlier version passes on what its backend server sent, so a malformed response still reaches callers while versions are mixed.

Change: a reply whose status is not 0 or 200 to 599, or with a field whose name is no token or whose value has control bytes, fails with ErrInvalidMessage. The outcome is unknown, as for any lost reply. The end of a body is told from a broken stream by QUIC itself.

--- a/internal/peerquic/errors.go
+++ b/internal/peerquic/errors.go
@@ -17,7 +17,8 @@
 	ErrStopping = eris.New("daemon is stopping")
 	// ErrWrongSlot means that the peer has the certificate of another slot.
 	ErrWrongSlot = eris.New("certificate belongs to another slot")
-	// ErrInvalidMessage means that a message is too large or empty.
+	// ErrInvalidMessage means that a message is too large or empty, or that it is a reply which
+	// is not the head of a valid response.
 	ErrInvalidMessage = eris.New("invalid message")
 )
 
--- a/internal/peerquic/mesh_test.go
+++ b/internal/peerquic/mesh_test.go
@@ -108,7 +108,7 @@
 	stopped chan struct{}
 }
 
-func newMesh(t *testing.T, ca authority.KeyPair, name string) *peerquic.Mesh {
+func newMesh(t *testing.T, ca authority.KeyPair, name string, h peerquic.Handler) *peerquic.Mesh {
 	keys, err := authority.Issue(ca, name)
 	if err != nil {
 		t.Fatal(err)
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m.Serve(echo{})
+	m.Serve(h)
 	return m
 }
 
@@ -130,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &pair{client: newMesh(t, ca, "client"), server: newMesh(t, ca, "server"), begun: make(chan string, 1), stopped: make(chan struct{})}
+	p := &pair{client: newMesh(t, ca, "client", echo{}), server: newMesh(t, ca, "server", echo{}), begun: make(chan string, 1), stopped: make(chan struct{})}
 	for range 2 {
 		p.relays = append(p.relays, newRelay(t, p.server.Address(), delay))
 	}
--- a/internal/peerquic/stream.go
+++ b/internal/peerquic/stream.go
@@ -60,6 +60,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("read answer: %w", withRefusal(err))
 	}
+	if err := checkReply(a.GetReply()); err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
 	return a, nil
 }
 
