--- a/internal/http1/doc.go
+++ b/internal/http1/doc.go
@@ -7,5 +7,5 @@
 // whether the server may have read any of it, responses to other requests are
 // skipped, and a connection is reused only after a complete exchange that left
 // nothing unread or unsent on it. Parsing of responses and encoding of header
-// fields are left to net/http.
+// fields are left to net/http, behind package wirecheck.
 package http1
