Pace the bodies that other daemons send, and report the link

Admission asks the link before the queue for bodies above 16 KiB that the sender withholds; a request that waits holds no slot, can be given up, and is refused with 503 once its body would be late. Bodies that arrive without a grant are recorded: inline ones, those of the machine's own callers, responses of other daemons and control messages. What was granted and does not arrive returns its room when the request ends.

HopReport carries backlog and pace, and the balancer adds the backlog, decayed with the age of the report, and size x pace to the expected latency of requests with a body above 16 KiB.

Without Sidecar.link all of this is off.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -40,7 +40,9 @@
 	centre   string
 	address  fleet.Address
 	queue    *backend.Queue[*backend.SlotWindow]
-	client   *http1.Client
+	// link paces the bodies that other daemons send.
+	link   *linkPacer
+	client *http1.Client
 	// budget bounds the memory for bodies.
 	budget     *http1.Budget
 	quarantine *backend.Quarantine
@@ -80,6 +82,9 @@
 	r := a.admitAndRun(ctx, req, instance, redirectable)
 	running, waiting, limit, mean := a.queue.Load()
 	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
+	if a.link.limited() {
+		r.load = r.load.WithLink(a.link.link.Backlog(time.Now()), a.link.link.Pace())
+	}
 	a.events.request(classOf(r.outcome, logs.Attempt), "admission", req.id, "route", req.route, "customer", req.customer,
 		"outcome", r.outcome.String(), "reason", string(r.reason), "status", r.status, "instance", r.instance,
 		"waited", r.waited.String(), "took", time.Since(begin).String(), "running", running, "waiting", waiting,
@@ -88,6 +93,12 @@
 }
 
 func (a *admission) admitAndRun(ctx context.Context, req *request, instance string, redirectable bool) *result {
+	begin := time.Now()
+	defer req.body.inflow.end()
+	if r := a.awaitLink(ctx, req, instance, redirectable); r != nil {
+		r.waited = time.Since(begin)
+		return r
+	}
 	now := time.Now()
 	decision, err := workers.Do(ctx, a.pool, func() queueDecision { return a.admit(now, req, instance, redirectable) })
 	if err != nil {
@@ -99,7 +110,7 @@
 		return r
 	}
 	r := a.awaitSlot(ctx, decision)
-	waited := time.Since(now)
+	waited := time.Since(begin)
 	if r == nil {
 		r = a.run(ctx, req, decision)
 	} else {
@@ -111,10 +122,7 @@
 
 // admit decides whether a request is refused, queued or started at once.
 func (a *admission) admit(now time.Time, req *request, instance string, redirectable bool) queueDecision {
-	id, reason := a.resolveInstance(now, req, instance)
-	if reason == caller.ReasonNone && a.quarantine.Quarantined(now, requestKey(req)) {
-		reason = caller.ReasonQuarantined
-	}
+	id, reason := a.check(now, req, instance)
 	if reason != caller.ReasonNone {
 		return queueDecision{refusal: reason, instance: id}
 	}
@@ -126,6 +134,16 @@
 	return queueDecision{entry: entry, state: state, retryAfter: retryAfter, instance: id}
 }
 
+// check returns the id of the instance, and the reason if the request may not run whatever
+// capacity there is.
+func (a *admission) check(now time.Time, req *request, instance string) (string, caller.Reason) {
+	id, reason := a.resolveInstance(now, req, instance)
+	if reason == caller.ReasonNone && a.quarantine.Quarantined(now, requestKey(req)) {
+		reason = caller.ReasonQuarantined
+	}
+	return id, reason
+}
+
 // resolveInstance returns the id of the instance that is published for the backend
 // server's address, and the reason if the request may not be sent to it. While no instance
 // is known, it returns the id that the sender used.
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -128,6 +128,7 @@
 	bounds := s.GetBounds()
 	rateBound := customer.NewRateBound(bounds.GetQuotaWindow().AsDuration(), bounds.GetQuotaOver(), bounds.GetQuotaSlack())
 	d.admission = d.newAdmission(p.protocol, fleet.NewAddress(backendAddr.Addr().String(), backendAddr.Port()))
+	d.peers.link = d.admission.link
 	d.admission.daemonRestarted = !firstStart
 	d.watcher = &storeWatcher{
 		fleetState:      d.state,
@@ -195,6 +196,7 @@
 		pool:       d.pool,
 		service:    s.GetService(),
 		limiter:    d.limiter,
+		link:       d.admission.link,
 		sender:     d.sender,
 		metrics:    d.metrics,
 		shutdown:   d.shutdown,
@@ -215,6 +217,7 @@
 		centre:     d.settings.GetCentre(),
 		address:    address,
 		queue:      backend.NewQueue(backend.NewSlotWindow(initialSlots), backend.NewRateLimiter(bounds.GetColdOver(), bounds.GetColdSlack())),
+		link:       newLinkPacer(d.settings.GetLink(), d.events),
 		client:     http1.NewClient(address.String(), backendDialTimeout, maxIdleBackendConns).WithBudget(d.budget),
 		budget:     d.budget,
 		quarantine: backend.NewQuarantine(),
@@ -248,7 +251,7 @@
 func (d *Daemon) Start() error {
 	s := d.settings
 	control := http.NewServeMux()
-	control.Handle(controlPath, d.gossiper)
+	control.Handle(controlPath, d.admission.link.recordRequests(d.gossiper))
 	control.Handle("/metrics", d.metrics.handler)
 	ready, err := http1.Listen("ready", s.GetReady(), http.HandlerFunc(d.serveReady))
 	if err != nil {
@@ -352,6 +355,7 @@
 	d.metrics.gauge("bodies_evicted", float64(d.budget.Evicted()))
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("paused_seconds", d.monitor.Paused().Seconds())
+	d.admission.link.updateGauges(now, d.metrics.gauge)
 	d.out.SetGauges(now, d.metrics.gauge)
 	if cfg := d.state.config.Load(); cfg != nil {
 		d.metrics.customers.sweep(cfg)
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -40,7 +40,7 @@
 		// The sending daemon has disconnected, so no response can be sent.
 		panic(http.ErrAbortHandler)
 	}
-	req.body = b
+	req.body = in.admission.link.receive(b)
 	defer func() { req.body.lease.Release() }()
 	result := in.admission.serve(r.Context(), req, hop.GetInstance(), !hop.GetFinal())
 	defer result.lease.Release()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -48,6 +48,7 @@
 	pool     *workers.Pool
 	service  string
 	limiter  *rateLimiter
+	link     *linkPacer
 	sender   *sender
 	metrics  *metrics
 	// budget bounds the memory for bodies.
@@ -206,6 +207,7 @@
 	if r.ContentLength == 0 {
 		return body{}, nil
 	}
+	r.Body = in.link.recordReads(r.Body)
 	if r.ContentLength > maxBufferedBody {
 		return body{rest: r.Body, length: r.ContentLength}, nil
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -39,7 +39,9 @@
 type peerClients struct {
 	inboundPort, controlPort uint16
 	// budget bounds the memory for the bodies of responses.
-	budget         *http1.Budget
+	budget *http1.Budget
+	// link records the bodies of the answers to control messages.
+	link           *linkPacer
 	requestClients *table.Table[string, *http1.Client]
 	controlClients *table.Table[string, *http1.Client]
 }
@@ -94,6 +96,7 @@
 	if resp.Status() != http.StatusOK {
 		return nil, fmt.Errorf("exchange with %s: status %d: %w", ip, resp.Status(), errRejected)
 	}
+	p.link.record(len(resp.Body()))
 	return decodeControl(resp.Body())
 }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -57,6 +57,8 @@
 	// receipt states whether the sender of the request is known to be committed. It always is
 	// in the sender's own daemon.
 	receipt handover.Receipt[handover.FirstByte]
+	// inflow is rest if it arrives over the machine's link from another daemon, else nil.
+	inflow *inflow
 }
 
 // readRest reads the rest of a body that is small enough to be buffered. The sender may
@@ -175,9 +177,14 @@
 	m.SetLimit(uint32(r.Limit()))
 	m.SetWork(r.MeanRunTimeOfKind().Microseconds())
 	m.SetMean(r.MeanRunTime().Microseconds())
+	if r.LinkPace() > 0 {
+		m.SetBacklog(r.LinkBacklog().Microseconds())
+		m.SetPace(r.LinkPace().Microseconds())
+	}
 }
 
 func decodeLoad(m *schema.HopReport) upstream.LoadReport {
 	return upstream.NewLoadReport(int(m.GetRunning()), int(m.GetWaiting()), int(m.GetLimit()),
-		time.Duration(m.GetWork())*time.Microsecond, time.Duration(m.GetMean())*time.Microsecond)
+		time.Duration(m.GetWork())*time.Microsecond, time.Duration(m.GetMean())*time.Microsecond).
+		WithLink(time.Duration(m.GetBacklog())*time.Microsecond, time.Duration(m.GetPace())*time.Microsecond)
 }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -195,6 +195,7 @@
 	if err != nil {
 		return errorResult(ctx, err, offer)
 	}
+	s.admission.link.record(len(resp.Body()))
 	report := &schema.HopReport{}
 	if err := extractMessage(resp.Header(), reportHeader, report); err != nil {
 		resp.Release()
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -78,6 +78,7 @@
 		return !d.monitor.Now().Before(noticed) && d.openRequests.Load() == 0
 	})
 	d.shutdown.backendClosed.Store(true)
+	d.admission.link.link.RefuseWaiting()
 	d.admission.queue.SetClosed(true)
 	// The calls that the backend server makes for running requests count as open requests.
 	d.waitUntil(last, idleBeforeRefusal, func() bool {
--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -362,6 +362,22 @@
 	return backlog
 }
 
+// RefuseWaiting refuses all bodies that wait.
+func (l *Link) RefuseWaiting() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.waiting) > 0 {
+		l.refuse(0, 0)
+	}
+}
+
+// Rate returns the rate in use in bytes per second, which is the configured or the observed one.
+func (l *Link) Rate() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rate
+}
+
 // Pace returns the time that the link needs for a KiB, or zero if it is unlimited.
 func (l *Link) Pace() time.Duration {
 	if !l.Limited() {
--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -49,6 +49,8 @@
 type LoadReport struct {
 	running, waiting, limit        int
 	meanRunTimeOfKind, meanRunTime time.Duration
+	// linkBacklog and linkPace describe the link of the machine; see WithLink.
+	linkBacklog, linkPace time.Duration
 }
 
 // NewLoadReport returns a report of the numbers of running and waiting requests,
@@ -121,6 +123,8 @@
 	// objective the time left in which it should be answered.
 	transferSize int
 	objective    time.Duration
+	// linkTime is the expected time until the body has arrived at the machine.
+	linkTime time.Duration
 }
 
 // Instance returns the instance.
@@ -140,7 +144,7 @@
 	load := math.Max(p.reportedLoad, float64(p.inflight))
 	queue := math.Max(0, load+1-limit) / limit
 	slowdown := saturationSlowdown * load / limit
-	return time.Duration(float64(p.runTime)*(1+slowdown) + float64(mean)*queue)
+	return time.Duration(float64(p.runTime)*(1+slowdown)+float64(mean)*queue) + p.linkTime
 }
 
 // NetworkCost returns the cost of leaving the machine or the data centre, expressed
@@ -308,6 +312,7 @@
 		transferSize: b.transferSize(r),
 
 		objective: r.objective,
+		linkTime:  s.report.linkTime(r.size, halfLives),
 	}
 }
 
--- a/pkg/upstream/balancer_test.go
+++ b/pkg/upstream/balancer_test.go
@@ -52,8 +52,12 @@
 					t.Fatal(err)
 				}
 				n, _ := strconv.Atoi(f[2])
+				report := upstream.NewLoadReport(running, 0, 9, runTime, runTime)
+				if len(f) > 7 {
+					report = report.WithLink(parseDuration(t, f[6]), parseDuration(t, f[7]))
+				}
 				for range n {
-					b.Done(now, f[1], upstream.NewRequest("read", 0, 200*time.Millisecond), results[f[3]], upstream.NewLoadReport(running, 0, 9, runTime, runTime))
+					b.Done(now, f[1], upstream.NewRequest("read", 0, 200*time.Millisecond), results[f[3]], report)
 				}
 			case "place":
 				size, _ := strconv.Atoi(f[1])
@@ -88,6 +92,14 @@
 	// Output: i-1
 }
 
+func parseDuration(t *testing.T, text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 func parseAddress(text string) fleet.Address {
 	host, port, _ := strings.Cut(text, ":")
 	n, _ := strconv.ParseUint(port, 10, 16)
--- /dev/null
+++ b/pkg/upstream/link.go
@@ -0,0 +1,36 @@
+package upstream
+
+import (
+	"math"
+	"time"
+)
+
+// minPacedBody is the size in bytes above which the body of a request waits for the link of the
+// machine that it is sent to. Smaller bodies are sent at once.
+const minPacedBody = 16 << 10
+
+// WithLink returns a copy of the report for a machine whose link needs backlog to receive the
+// bodies that it has been promised, and pace for a KiB. Both are zero if the rate of the link is
+// unknown.
+func (r LoadReport) WithLink(backlog, pace time.Duration) LoadReport {
+	r.linkBacklog, r.linkPace = backlog, pace
+	return r
+}
+
+// LinkBacklog returns the time that the machine's link needs to receive the bodies that it has
+// been promised, or zero if it is unknown.
+func (r LoadReport) LinkBacklog() time.Duration { return r.linkBacklog }
+
+// LinkPace returns the time that the machine's link needs for a KiB, or zero if it is unknown.
+func (r LoadReport) LinkPace() time.Duration { return r.linkPace }
+
+// linkTime returns the expected time until a body of size bytes has arrived, given the age of the
+// report in half-lives. A backlog loses its weight with the age of the report like the reported
+// load: it may have drained, or been refilled.
+func (r LoadReport) linkTime(size int, halfLives float64) time.Duration {
+	if size <= minPacedBody {
+		return 0
+	}
+	transfer := float64(r.linkPace) * float64(size) / 1024
+	return time.Duration(float64(r.linkBacklog)*math.Exp2(-halfLives) + transfer)
+}
