Treat an unasked switch of protocols as a lost response

Cause: net/http returns a response with status 101 as final, with the connection as its body, also if the request did not ask for another protocol. run passed it on; the server for callers, which sends no interim responses, made it 200. The client of sidecar skipped it and read on as HTTP.

Change: wirecheck fails at the end of such a head. Requests are forwarded without Upgrade, so no server may switch.

Result: on the code before, backendhttp gave "101 b (cut)" and http1 "200 body" from what followed. Both are lost now.

--- a/internal/wirecheck/checker.go
+++ b/internal/wirecheck/checker.go
@@ -268,6 +268,9 @@
 // endSection continues behind the empty line that ends a head or a trailer.
 func (c *Checker) endSection() error {
 	switch {
+	case c.status == http.StatusSwitchingProtocols:
+		// No client of this repository asks for another protocol.
+		return malformed("switch to another protocol")
 	case c.inTrailer, c.withoutBody.Load(), c.status < http.StatusOK,
 		c.status == http.StatusNoContent, c.status == http.StatusNotModified:
 		c.endMessage()
