Recognise calls by the ids of the requests that make them

Without customers there are no API keys, by which calls could be told from callers' requests, so that a call queued behind new work and, if refused, lost a request whose own work was done. A backend server gives a call the id PARENT.SUFFIX: the adapter splits it, and the daemon holds the requests that its own backend server is running. A call has its parent's ranks before its own, ends with it at the latest, and carries the time spent and whether the run is a resend. The rule by API keys stays beside it, and an id that extends no running request's is a caller's, as before.

Hop gets call_rank, since the ranks of the parent take the place of the call's own.

--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -69,8 +69,7 @@
 // here is refused.
 func (d *daemon) admit(r *request, redirectable bool, reply func(upstream.Attempt)) {
 	sim := d.sim
-	priority := caller.NewPriority(r.nested, 0, int(r.class.GetPriority()))
-	submitted := backend.NewRequest(priority, r.class.GetName(), r.objective, r.deadline)
+	submitted := backend.NewRequest(r.priority, r.class.GetName(), r.objective, r.deadline)
 	j := &job{request: r, daemon: d, reply: reply}
 	entry, state, retryAfter := d.queue.Submit(sim.now, submitted, redirectable)
 	j.entry = entry
@@ -185,7 +184,7 @@
 		for range call.GetTimes() {
 			pending++
 			r := &request{
-				class: class, daemon: d, nested: true, onDone: finish,
+				class: class, daemon: d, priority: j.request.priority.Call(int(class.GetPriority())), onDone: finish,
 				objective: sim.now.Add(class.GetObjective().AsDuration()),
 				deadline:  earlier(sim.now.Add(class.GetDeadline().AsDuration()), j.request.deadline),
 			}
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -13,7 +13,7 @@
 type request struct {
 	class               *schema.EmulatedClass
 	daemon              *daemon
-	nested              bool
+	priority            caller.Priority
 	objective, deadline time.Time
 	retry               *upstream.RetryState
 	lastAttempt         upstream.Attempt
@@ -38,7 +38,7 @@
 )
 
 func (r *request) start() {
-	r.retry = upstream.NewRetryState(maxAttempts, r.class.GetOnce(), r.nested, true)
+	r.retry = upstream.NewRetryState(maxAttempts, r.class.GetOnce(), r.priority.Nested(), true)
 	r.daemon.sim.at(r.deadline, func() { r.finish(result{}) })
 	r.daemon.handle(r.tryNext)
 }
@@ -113,7 +113,7 @@
 		return
 	}
 	r.finished = true
-	if r.nested {
+	if r.priority.Nested() {
 		r.daemon.sim.scores[r.class.GetName()].record(r.daemon.sim.now, r, res)
 	}
 	r.onDone(res)
--- a/internal/emulate/simulation.go
+++ b/internal/emulate/simulation.go
@@ -9,6 +9,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
@@ -130,7 +131,10 @@
 		sim.scheduleArrival(c, end)
 		d := sim.daemons[sim.rng.IntN(len(sim.daemons))]
 		sim.scores[c.GetName()].requests++
-		r := &request{class: c, daemon: d, objective: sim.now.Add(c.GetObjective().AsDuration()), deadline: sim.now.Add(c.GetDeadline().AsDuration())}
+		r := &request{
+			class: c, daemon: d, priority: caller.NewPriority(false, 0, int(c.GetPriority())),
+			objective: sim.now.Add(c.GetObjective().AsDuration()), deadline: sim.now.Add(c.GetDeadline().AsDuration()),
+		}
 		r.onDone = func(res result) { sim.handleResult(r, res, c.GetRetries()) }
 		r.start()
 	})
@@ -145,7 +149,7 @@
 		score.retries++
 		wait := min(res.retryAfter, remaining/3)
 		sim.after(wait, func() {
-			next := &request{class: r.class, daemon: r.daemon, objective: r.objective, deadline: r.deadline}
+			next := &request{class: r.class, daemon: r.daemon, priority: r.priority, objective: r.objective, deadline: r.deadline}
 			next.onDone = func(res result) { sim.handleResult(next, res, retries-1) }
 			next.start()
 		})
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -56,7 +56,9 @@
 	// checkingHealth is set while a health check is in progress.
 	checkingHealth atomic.Bool
 	// running is the number of requests at the backend server.
-	running  atomic.Int64
+	running atomic.Int64
+	// calls holds the requests at the backend server, whose ids the ids of calls extend.
+	calls    *runningRequests
 	shutdown *shutdown
 }
 
@@ -245,6 +247,8 @@
 	}
 	a.running.Add(1)
 	defer a.running.Add(-1)
+	a.calls.begin(now, req)
+	defer a.calls.end(req)
 	r := a.send(ctx, req, id, remaining, decision.entry)
 	r.instance = id
 	return r
--- /dev/null
+++ b/internal/sidecar/calls_test.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/pkg/caller"
+)
+
+// dottedIDs is a protocol by which the id of a call is PARENT.SUFFIX.
+type dottedIDs struct{ Protocol }
+
+// ParentID implements Protocol.
+func (dottedIDs) ParentID(id string) (string, bool) {
+	i := strings.LastIndexByte(id, '.')
+	return id[:max(i, 0)], i > 0
+}
+
+// Match implements Protocol.
+func (dottedIDs) Match(string, http.Header) http1.Match { return http1.Matched }
+
+// TestCalls guards against calls that are taken for callers' requests, that lose the ranks of
+// their parents on the way to another daemon, or that outlive them. A script begins and ends runs
+// (begin ID RANK DEADLINE [resent]) and lets requests arrive (arrive ID RANK DEADLINE OBJECTIVE),
+// each of which is printed as the daemon beside the called server receives it.
+func TestCalls(t *testing.T) {
+	datadriven.RunTest(t, "testdata/calls", func(t *testing.T, d *datadriven.TestData) string {
+		calls := newRunningRequests(dottedIDs{})
+		now := time.Now()
+		in := func(text string) time.Time {
+			after, err := time.ParseDuration(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return now.Add(after)
+		}
+		rank := func(text string) int {
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+		var out strings.Builder
+		for line := range strings.SplitSeq(d.Input, "\n") {
+			f := strings.Fields(line)
+			switch f[0] {
+			case "after":
+				now = in(f[1])
+			case "begin":
+				calls.begin(now, &request{
+					id: f[1], route: "r" + f[2], priority: caller.NewPriority(false, 0, rank(f[2])), deadline: in(f[3]), resent: len(f) > 4,
+				})
+			case "end":
+				calls.end(&request{id: f[1]})
+			case "arrive":
+				req := &request{id: f[1], priority: caller.NewPriority(false, 0, rank(f[2])), deadline: in(f[3]), objective: in(f[4])}
+				if parent, ok := calls.parent(req.id); ok {
+					req.makeCall(now, parent, rank(f[2]))
+				}
+				got := decodeHop(encodeHop(req, "i1", now, false), now)
+				nested, _, route := got.priority.Components()
+				fmt.Fprintf(&out, "%s: call %t, ranks %d %d, deadline %s, objective %s, spent %s, resent %t\n", line, nested, route,
+					got.priority.CallRank(), got.deadline.Sub(now).Round(time.Millisecond), got.objective.Sub(now).Round(time.Millisecond),
+					got.spent.Round(time.Millisecond), got.resent)
+			default:
+				t.Fatalf("unknown line %q", line)
+			}
+		}
+		return out.String()
+	})
+}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -196,6 +196,7 @@
 		service:    s.GetService(),
 		limiter:    d.limiter,
 		sender:     d.sender,
+		calls:      d.admission.calls,
 		metrics:    d.metrics,
 		shutdown:   d.shutdown,
 		budget:     budget,
@@ -220,6 +221,7 @@
 		quarantine: backend.NewQuarantine(),
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
+		calls:      newRunningRequests(p),
 	}
 }
 
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -214,6 +214,10 @@
 	}
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Upstream-Seal", "seal")
+	if strings.HasPrefix(r.URL.Path, "/parent/") {
+		_, _ = io.WriteString(w, "from "+b.id+" after "+b.call("/open/x", id+".1"))
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/nested/") {
 		_, _ = io.WriteString(w, "from "+b.id+" after "+b.call("/open/x", id+"-call"))
 		return
@@ -244,10 +248,10 @@
 }
 
 // workOf returns the time that a request takes, which is the second segment of the paths
-// /long/ and /nested/.
+// /long/, /nested/ and /parent/.
 func workOf(path string) time.Duration {
 	segments := strings.Split(path, "/")
-	if len(segments) < 3 || segments[1] != "long" && segments[1] != "nested" {
+	if len(segments) < 3 || segments[1] != "long" && segments[1] != "nested" && segments[1] != "parent" {
 		return 0
 	}
 	d, _ := time.ParseDuration(segments[2])
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -63,22 +63,31 @@
 		Version:      proto.Uint64(req.configVersion),
 		Final:        proto.Bool(!redirectable),
 		Route:        proto.String(req.route),
+		Spent:        proto.Int64(req.spent.Microseconds()),
+		Resent:       proto.Bool(req.resent),
+		CallRank:     proto.Uint32(uint32(req.priority.CallRank())),
 	}.Build()
 }
 
 // decodeHop returns the request that a message describes. The times in the message are
 // relative to now.
 func decodeHop(m *schema.Hop, now time.Time) *request {
+	priority := caller.NewPriority(m.GetNested(), int(m.GetCustomerRank()), int(m.GetRouteRank()))
+	if m.GetNested() {
+		priority = priority.Call(int(m.GetCallRank()))
+	}
 	return &request{
 		service:       m.GetService(),
 		route:         m.GetRoute(),
 		customer:      m.GetCustomer(),
-		priority:      caller.NewPriority(m.GetNested(), int(m.GetCustomerRank()), int(m.GetRouteRank())),
+		priority:      priority,
 		atMostOnce:    m.GetOnce(),
 		fingerprint:   m.GetFingerprint(),
 		deadline:      now.Add(time.Duration(m.GetTimeout()) * time.Microsecond),
 		objective:     now.Add(time.Duration(m.GetObjective()) * time.Microsecond),
 		configVersion: m.GetVersion(),
+		spent:         time.Duration(m.GetSpent()) * time.Microsecond,
+		resent:        m.GetResent(),
 		suspended:     suspend.Start(),
 	}
 }
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -49,7 +49,9 @@
 	service  string
 	limiter  *rateLimiter
 	sender   *sender
-	metrics  *metrics
+	// calls holds the requests that the daemon's own backend server is running.
+	calls   *runningRequests
+	metrics *metrics
 	// budget bounds the memory for bodies.
 	budget   *http1.Budget
 	shutdown *shutdown
@@ -68,12 +70,16 @@
 }
 
 // logFields returns the fields of a log line that say for which limit a request was
-// refused, and by which daemon.
+// refused, and by which daemon, and by requests of which route a call was made.
 func (d ingressDecision) logFields() []any {
+	var fields []any
+	if d.request.parent != "" {
+		fields = append(fields, "parent", d.request.parent, "spent", d.request.spent.Round(time.Microsecond).String(), "resent", d.request.resent)
+	}
 	if d.limit.reason == caller.ReasonNone {
-		return nil
+		return fields
 	}
-	return []any{"part", string(d.limit.part), "holder", d.limit.holder, "rate", d.customer.Rate(), "burst", d.customer.Burst()}
+	return append(fields, "part", string(d.limit.part), "holder", d.limit.holder, "rate", d.customer.Rate(), "burst", d.customer.Burst())
 }
 
 // ServeHTTP implements http.Handler.
@@ -158,6 +164,10 @@
 	decision.request.atMostOnce = route.AtMostOnce()
 	decision.request.service = route.ChooseService(rand.Float64()) //nolint:gosec // no secret
 	in.setDeadlines(now, decision.request, route, meta)
+	parent, isCall := in.calls.parent(meta.id)
+	if isCall {
+		decision.request.makeCall(now, parent, route.Priority())
+	}
 	if !in.shutdown.accepts(now, decision.request, in.sender.balancer.MeanRunTime) {
 		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
 		return decision
@@ -169,7 +179,9 @@
 	}
 	decision.customer = customer
 	decision.request.customer = customer.Name()
-	decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
+	if !isCall {
+		decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
+	}
 	return decision
 }
 
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -81,6 +81,9 @@
 	// SetTarget sets the header fields for the instance that the request is meant
 	// for and for the time that remains until the deadline.
 	SetTarget(h http.Header, instance string, remaining time.Duration)
+	// ParentID returns the id of the request on whose behalf a backend server makes the
+	// request with an id, and false if the id cannot be that of a call.
+	ParentID(id string) (string, bool)
 	// Match reports whether the header fields of a response belong to the request with an
 	// id, or to one without an id if that is empty.
 	Match(id string, h http.Header) http1.Match
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -27,6 +27,13 @@
 	fingerprint          uint64
 	deadline, objective  time.Time
 	configVersion        uint64
+	// parent is the route of the running request that made this one as a call, or "".
+	parent string
+	// spent is the time already spent on that request.
+	spent time.Duration
+	// resent indicates that the request, or the one that made it, has reached another backend
+	// server before.
+	resent bool
 	// suspended measures how long the machine was suspended. The monotonic clock of
 	// deadline and objective does not include that time.
 	suspended suspend.Meter
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -83,12 +83,16 @@
 }
 
 // mayResend reports whether a request that a backend server has received may be sent to
-// another one.
+// another one. If so, the request carries on that it was resent.
 func (s *sender) mayResend(req *request, state *sendState) bool {
 	if state.failedResponse != nil && s.balancer.FailsEverywhere(req.upstreamRequest()) {
 		return false
 	}
-	return s.resendBudget.AllowResend(time.Now(), req.service, s.fleetShare())
+	if !s.resendBudget.AllowResend(time.Now(), req.service, s.fleetShare()) {
+		return false
+	}
+	req.resent = true
+	return true
 }
 
 // sendFallback sends a request that no instance admitted without a long wait to the
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -53,6 +53,7 @@
 {"resource-type":"routes","metadata":{"name":"open"},"spec":{"hostname":"h.example","prefix":"/open/","type":"safe","timeout-s":0.4,"target-latency-s":0.2,"priority":1,"service":"b","max-attempts":2,"allow-anonymous":true}},
 {"resource-type":"routes","metadata":{"name":"long"},"spec":{"hostname":"h.example","prefix":"/long/","type":"unsafe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"nested"},"spec":{"hostname":"h.example","prefix":"/nested/","type":"safe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
+{"resource-type":"routes","metadata":{"name":"parent"},"spec":{"hostname":"h.example","prefix":"/parent/","type":"safe","timeout-s":0.9,"target-latency-s":0.5,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"services","metadata":{"name":"a"},"spec":{"health-path":"/health","max-connections":50}},
 {"resource-type":"services","metadata":{"name":"b"},"spec":{"health-path":"/health","max-connections":50}},
 {"resource-type":"tenants","metadata":{"name":"kunde"},"spec":{"api-keys":[%q],"rate-per-s":1000,"burst":1000}},
@@ -240,6 +241,12 @@
 			apiKey = args[2]
 		}
 		f.store.put("op/config", fmt.Sprintf(configFormat, n, apiKey), false)
+	case "keyless": // keyless n: configuration n, without customers
+		n, _ := strconv.Atoi(args[1])
+		text := fmt.Sprintf(configFormat, n, callerKey)
+		before, tenants, _ := strings.Cut(text, "\n{\"resource-type\":\"tenants\"")
+		_, after, _ := strings.Cut(tenants, "\n")
+		f.store.put("op/config", before+"\n"+after, false)
 	case "warmup": // warmup n: configuration n, with a warm-up of 3 s at 5 requests a second
 		n, _ := strconv.Atoi(args[1])
 		text := fmt.Sprintf(configFormat, n, callerKey)
@@ -311,6 +318,8 @@
 		return fmt.Sprintf("%d\n", resp.StatusCode)
 	case "log": // log text: counts the lines that contain a message
 		return fmt.Sprintf("%d lines\n", strings.Count(f.out.String(), `"@message":"`+strings.Join(args[1:], " ")+`"`))
+	case "logged": // logged text: prints how often the log contains a text
+		return fmt.Sprintf("%d times\n", strings.Count(f.out.String(), strings.Join(args[1:], " ")))
 	case "metric": // metric m1 text: prints the metrics that begin with a text, sorted
 		return f.metrics(args[1], args[2])
 	case "limits": // limits n rate: configuration n, with a rate limit
--- a/pkg/caller/need.go
+++ b/pkg/caller/need.go
@@ -9,6 +9,9 @@
 type Priority struct {
 	nested          bool
 	customer, route int
+	// call is the rank of the call's own route, where customer and route are those of the
+	// request that made it.
+	call int
 }
 
 // NewPriority returns the priority of a request. Requests that a backend server makes
@@ -19,6 +22,13 @@
 	return Priority{nested: nested, customer: customer, route: route}
 }
 
+// Call returns the priority of a call that a backend server makes while it runs a request of
+// priority p, on a route with the given rank. Among calls, the ranks of the requests that made
+// them decide, and only then their own.
+func (p Priority) Call(route int) Priority {
+	return Priority{nested: true, customer: p.customer, route: p.route, call: route}
+}
+
 // Compare returns a negative number if p is more urgent than o, a positive number if
 // it is less urgent, and 0 if they are equal.
 func (p Priority) Compare(o Priority) int {
@@ -28,17 +38,21 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(p.customer, o.customer), cmp.Compare(p.route, o.route))
+	return cmp.Or(cmp.Compare(p.customer, o.customer), cmp.Compare(p.route, o.route), cmp.Compare(p.call, o.call))
 }
 
 // Nested reports whether a backend server makes the request while it runs another one.
 func (p Priority) Nested() bool { return p.nested }
 
-// Components returns the arguments that the priority was created from.
+// Components returns the arguments of NewPriority. For a priority that Call returned, the ranks
+// are those of the request that made the call.
 func (p Priority) Components() (nested bool, customer, route int) {
 	return p.nested, p.customer, p.route
 }
 
+// CallRank returns the argument of Call, or 0 if Call did not return the priority.
+func (p Priority) CallRank() int { return p.call }
+
 // Need is what a request needs of a resource that is short, such as the slots of a backend
 // server or the link of a machine, and by when. All components that delay or refuse requests for
 // lack of capacity order them by their needs, so that a request which one of them has let pass is
