Order a backend server's queue by need, and keep slots for calls

Queue refused whoever arrived last or would be late, whatever it needed, and estimated waits from one mean over all classes. Calls wait until their deadline, as before.

The daemon calls Tick whenever requests wait beside free slots.

--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -94,7 +94,7 @@
 }
 
 // processDecided runs or rejects the jobs on which the queue has decided, and schedules
-// the next Tick while the backend server is cold.
+// the next Tick while entries wait beside free slots.
 func (d *daemon) processDecided() {
 	for decided := d.takeDecided(); len(decided) > 0; decided = d.takeDecided() {
 		for _, j := range decided {
@@ -105,7 +105,7 @@
 			}
 		}
 	}
-	if d.tickScheduled || len(d.waiting) == 0 || !d.queue.Cold(d.sim.now) {
+	if d.tickScheduled || len(d.waiting) == 0 || !d.queue.Blocked() {
 		return
 	}
 	if next := d.queue.Tick(d.sim.now); next > 0 {
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -122,7 +122,7 @@
 	}
 	queued := backend.NewRequest(req.priority, req.route, req.objective, req.deadline)
 	entry, state, retryAfter := a.queue.Submit(now, queued, redirectable)
-	if state == backend.Waiting && a.queue.Cold(now) {
+	if state == backend.Waiting && a.queue.Blocked() {
 		a.scheduleTick(now)
 	}
 	return queueDecision{entry: entry, state: state, retryAfter: retryAfter, instance: id}
@@ -156,8 +156,9 @@
 	return id, caller.ReasonNone
 }
 
-// scheduleTick calls the queue's Tick until no more calls are needed. While the backend
-// server is cold, each call starts the queued requests that the warm-up rate permits.
+// scheduleTick calls the queue's Tick until no more calls are needed. Each call starts the queued
+// requests that the warm-up rate of a cold backend server permits, or that have left free slots to
+// calls for long enough.
 func (a *admission) scheduleTick(now time.Time) {
 	next := a.queue.Tick(now)
 	if next == 0 {
@@ -176,6 +177,14 @@
 	})
 }
 
+// finish ends a running request in the queue, which may leave others waiting beside free slots.
+func (a *admission) finish(now time.Time, entry *backend.Entry, r backend.Result) {
+	a.queue.Done(now, entry, r)
+	if a.queue.Blocked() {
+		a.scheduleTick(now)
+	}
+}
+
 // awaitSlot waits until a queued request may run. It returns nil if the request may
 // run, and the refusal otherwise.
 func (a *admission) awaitSlot(ctx context.Context, decision queueDecision) *result {
@@ -184,7 +193,7 @@
 		case <-decision.entry.Decided():
 		case <-ctx.Done():
 			if !a.queue.Cancel(decision.entry) {
-				a.queue.Done(time.Now(), decision.entry, backend.Cancelled)
+				a.finish(time.Now(), decision.entry, backend.Cancelled)
 			}
 			return notRun(contextReason(ctx))
 		}
@@ -214,7 +223,7 @@
 		return a.handleSendError(ctx, time.Now(), req, decision.entry, err)
 	}
 	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), a.budget); err != nil {
-		a.queue.Done(time.Now(), decision.entry, backend.Cancelled)
+		a.finish(time.Now(), decision.entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "reading request body failed", req.id, "error", err.Error())
 		if errors.Is(err, http1.ErrBodyTooLarge) {
 			return notRun(caller.ReasonOverload)
@@ -233,7 +242,7 @@
 		reason = caller.ReasonDeadlineExceeded
 	}
 	if reason != caller.ReasonNone {
-		a.queue.Done(now, decision.entry, backend.Cancelled)
+		a.finish(now, decision.entry, backend.Cancelled)
 		r := notRun(reason)
 		r.instance = id
 		return r
@@ -285,7 +294,7 @@
 	meta := a.protocol.ResponseMetadata(resp.Status(), resp.Header())
 	http1.DropConnectionFields(resp.Header())
 	if meta.notRun {
-		a.queue.Done(now, entry, backend.Shed)
+		a.finish(now, entry, backend.Shed)
 		r := notRun(caller.ReasonOverload)
 		if meta.wrongInstance {
 			a.events.stateChange("unexpected instance at backend address", "expected", id, "found", meta.instance)
@@ -295,7 +304,7 @@
 		resp.Release()
 		return r
 	}
-	a.queue.Done(now, entry, backend.Served)
+	a.finish(now, entry, backend.Served)
 	a.quarantine.RecordAnswer(requestKey(req))
 	return &result{outcome: caller.OutcomeRan, delivered: true, status: resp.Status(), header: resp.Header(), body: resp.Body(), lease: resp.Lease()}
 }
@@ -317,24 +326,24 @@
 func (a *admission) handleSendError(ctx context.Context, now time.Time, req *request, entry *backend.Entry, err error) *result {
 	switch {
 	case errors.Is(err, http1.ErrNotSent) && ctx.Err() != nil:
-		a.queue.Done(now, entry, backend.Cancelled)
+		a.finish(now, entry, backend.Cancelled)
 		return notRun(contextReason(ctx))
 	case errors.Is(err, http1.ErrNotSent) && localShortage(err):
-		a.queue.Done(now, entry, backend.Cancelled)
+		a.finish(now, entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "connecting to backend server failed", req.id, "error", err.Error())
 		return notRun(caller.ReasonNoBackend)
 	case errors.Is(err, http1.ErrNotSent):
-		a.queue.Done(now, entry, backend.Disconnected)
+		a.finish(now, entry, backend.Disconnected)
 		a.recordUnreachable(now, err)
 		return notRun(caller.ReasonNoBackend)
 	case ctx.Err() != nil:
-		a.queue.Done(now, entry, backend.Cancelled)
+		a.finish(now, entry, backend.Cancelled)
 		return &result{outcome: caller.OutcomeUnknown, reason: contextReason(ctx), delivered: true}
 	case errors.Is(err, http1.ErrRequestBody):
-		a.queue.Done(now, entry, backend.Cancelled)
+		a.finish(now, entry, backend.Cancelled)
 		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonBadRequest, delivered: true}
 	}
-	a.queue.Done(now, entry, backend.Disconnected)
+	a.finish(now, entry, backend.Disconnected)
 	a.events.request(logs.Unknown, "response lost", req.id, "error", err.Error())
 	if !a.client.HasOpenConn() {
 		a.events.spawn(func() { a.checkCrash(req) })
--- a/pkg/backend/queue_test.go
+++ b/pkg/backend/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -18,8 +19,14 @@
 // TestQueue runs scripts against one queue. The name of a request begins with its
 // class: n for a nested one, u for an urgent one, p for a plain one. The name is
 // followed by the objective and the deadline, both relative to the arrival.
-func TestQueue(t *testing.T) {
-	datadriven.RunTest(t, "testdata/queue", func(t *testing.T, d *datadriven.TestData) string {
+func TestQueue(t *testing.T) { runQueue(t, "testdata/queue") }
+
+// TestQueueCalls guards against long requests that take all slots of a backend server which
+// receives calls, and against slots that stay idle for calls that do not come.
+func TestQueueCalls(t *testing.T) { runQueue(t, "testdata/calls") }
+
+func runQueue(t *testing.T, script string) {
+	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
 		slots := 0
 		d.ScanArgs(t, "slots", &slots)
 		q := backend.NewQueue(backend.NewSlotWindow(slots), backend.NewRateLimiter(1.5, 5))
@@ -41,6 +48,12 @@
 				for _, name := range f[1:] {
 					endRequest(now, q, entries[name], f[0])
 				}
+			case "again": // again NAME: prints after what time a rejected request has room
+				_, wait := q.State(entries[f[1]])
+				fmt.Fprintf(&out, "%s: %s\n", line, wait.Round(time.Millisecond))
+				continue
+			case "calls": // calls RATE WORK: serves a second of calls that run for a time each
+				now = serveCalls(now, q, f[1], duration(t, f[2]))
 			case "cold":
 				q.SetCold(now, now.Add(duration(t, f[1])), 10)
 			case "close":
@@ -60,6 +73,18 @@
 	})
 }
 
+// serveCalls lets calls arrive at an even rate for a second, each of which runs at once, and
+// returns the time of the last end.
+func serveCalls(now time.Time, q *backend.Queue[*backend.SlotWindow], rate string, work time.Duration) time.Time {
+	n, _ := strconv.Atoi(rate)
+	for range n {
+		e, _, _ := q.Submit(now, backend.NewRequest(caller.NewPriority(true, 0, 0), "n", now.Add(200*time.Millisecond), now.Add(600*time.Millisecond)), false)
+		q.Done(now.Add(work), e, backend.Served)
+		now = now.Add(time.Second / time.Duration(n))
+	}
+	return now
+}
+
 func endRequest(now time.Time, q *backend.Queue[*backend.SlotWindow], e *backend.Entry, how string) {
 	switch how {
 	case "served":
--- a/pkg/backend/request.go
+++ b/pkg/backend/request.go
@@ -21,3 +21,8 @@
 func NewRequest(priority caller.Priority, class string, objective, deadline time.Time) Request {
 	return Request{priority: priority, class: class, objective: objective, deadline: deadline}
 }
+
+// need returns what the request needs if it occupies a slot for work.
+func (r Request) need(work time.Duration) caller.Need {
+	return caller.NewNeed(r.priority, r.objective, r.deadline, work)
+}
