--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -199,6 +199,7 @@
 		limiter:    d.limiter,
 		link:       d.admission.link,
 		sender:     d.sender,
+		calls:      d.admission.calls,
 		metrics:    d.metrics,
 		shutdown:   d.shutdown,
 		budget:     budget,
@@ -223,6 +224,7 @@
 		quarantine: backend.NewQuarantine(),
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
+		calls:      newRunningRequests(p),
 	}
 }
 
