Emulate uneven demand, slow episodes and the budget for resends

Cause: the emulator sent a request that had been shed or had failed to a second backend server without asking the budget, so shedding of a whole service looked harmless. It had no demand that differs between data centres, and no backend servers that are slow from time to time.

Change: resends ask caller.ResendBudget, and a kind that fails everywhere is not resent, as in the sender. A burst can be limited to a class or a data centre, a wave moves the demand through the data centres, and a service can have slow episodes.

--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -21,11 +21,15 @@
 	speed float64
 	// slowdown multiplies the run times. It is set by faults.
 	slowdown float64
+	// episode multiplies the run times as well. It is above 1 during a slow episode.
+	episode float64
 	// shedRatio is the fraction of requests that the backend server sheds. It is set by
 	// faults.
 	shedRatio float64
 	queue     *backend.Queue[*backend.SlotWindow]
 	balancer  *upstream.Balancer[upstream.LatencyCost]
+	// budget limits the resends of requests that a backend server has received.
+	budget *caller.ResendBudget
 	// waiting holds the jobs that wait in the queue, in their order of arrival.
 	waiting []*job
 	// busyUntil is when the daemon will have processed the messages received so far.
@@ -161,7 +165,7 @@
 	running, _, _, _ := d.queue.Load()
 	variation := math.Exp(0.3*sim.rng.NormFloat64() - 0.045)
 	contention := 1 + fullLoadSlowdown*float64(running)/float64(d.service.GetSlots())
-	work := time.Duration(float64(j.request.class.GetWork().AsDuration()) * variation * contention * d.slowdown / d.speed)
+	work := time.Duration(float64(j.request.class.GetWork().AsDuration()) * variation * contention * d.slowdown * d.episode / d.speed)
 	sim.after(work, func() { j.makeCalls() })
 }
 
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -39,6 +39,7 @@
 
 func (r *request) start() {
 	r.retry = upstream.NewRetryState(maxAttempts, r.class.GetOnce(), r.nested, true)
+	r.daemon.budget.RecordRequest(r.daemon.sim.now, r.class.GetService())
 	r.daemon.sim.at(r.deadline, func() { r.finish(result{}) })
 	r.daemon.handle(r.tryNext)
 }
@@ -54,14 +55,14 @@
 		return
 	}
 	sim := r.daemon.sim
-	if more, _ := r.retry.NextAttempt(sim.now, r.deadline); more {
+	if more, resend := r.retry.NextAttempt(sim.now, r.deadline); more && (!resend || r.mayResend()) {
 		instances := sim.instances[r.class.GetService()]
 		if placement, ok := r.daemon.balancer.Pick(sim.now, sim.rng, r.upstreamRequest(), instances, r.retry.Tried()); ok {
 			r.attempt(placement.Instance(), r.retry.FailFast(len(instances) > len(r.retry.Tried())+1))
 			return
 		}
 	}
-	if id, _ := r.retry.Fallback(sim.now, r.deadline); id != "" {
+	if id, resend := r.retry.Fallback(sim.now, r.deadline); id != "" && (!resend || r.mayResend()) {
 		i := sim.byID[id].instance
 		r.daemon.balancer.Assign(sim.now, r.upstreamRequest(), i)
 		r.attemptLast(i)
@@ -70,6 +71,16 @@
 	r.finishWithLast()
 }
 
+// mayResend reports whether a request that a backend server has received may be sent to another
+// one.
+func (r *request) mayResend() bool {
+	d := r.daemon
+	if r.retry.ServerFailed() && d.balancer.FailsEverywhere(r.upstreamRequest()) {
+		return false
+	}
+	return d.budget.AllowResend(d.sim.now, r.class.GetService(), 1/float64(len(d.sim.daemons)))
+}
+
 func (r *request) attempt(i fleet.Instance, redirectable bool) { r.forward(i, redirectable, r.tryNext) }
 
 func (r *request) attemptLast(i fleet.Instance) { r.forward(i, false, r.finishWithLast) }
--- a/internal/emulate/simulation.go
+++ b/internal/emulate/simulation.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
@@ -28,10 +30,10 @@
 	// instances holds the instances of each service that are eligible for requests.
 	instances    map[string][]fleet.Instance
 	outOfService map[string]bool
-	// rateFactor multiplies the arrival rates. It is set by faults.
-	rateFactor float64
-	classes    map[string]*schema.EmulatedClass
-	scores     map[string]*Score
+	// demand states how the arrival rates differ from the plan's.
+	demand  demand
+	classes map[string]*schema.EmulatedClass
+	scores  map[string]*Score
 }
 
 // NewSimulation returns a simulation of a plan at its initial instant.
@@ -42,7 +44,7 @@
 		rng:          rand.New(rand.NewPCG(p.GetSeed(), 1)), //nolint:gosec // no secret
 		byID:         make(map[string]*daemon),
 		outOfService: make(map[string]bool),
-		rateFactor:   1,
+		demand:       demand{wave: p.GetWave(), centres: p.GetCentres()},
 		classes:      make(map[string]*schema.EmulatedClass),
 		scores:       make(map[string]*Score),
 	}
@@ -72,8 +74,10 @@
 				service:  s,
 				speed:    s.GetSpeeds()[n%len(s.GetSpeeds())],
 				slowdown: 1,
+				episode:  1,
 				queue:    backend.NewQueue(backend.NewSlotWindow(int(s.GetSlots())), backend.NewRateLimiter(coldRateFactor, coldSlack)),
 				balancer: upstream.NewBalancer(upstream.LatencyCost{}, host, centre),
+				budget:   caller.NewResendBudget(resendRatio, resendSlack, resendWindow),
 			}
 			sim.daemons = append(sim.daemons, d)
 			sim.byID[id] = d
@@ -89,6 +93,14 @@
 	coldSlack      = 8
 )
 
+// In any resendWindow, the fleet resends at most resendRatio times the requests to a service
+// plus resendSlack.
+const (
+	resendRatio  = 0.2
+	resendSlack  = 60
+	resendWindow = 10 * time.Second
+)
+
 // updateInstances sets the eligible instances to those in data centres that are in
 // service.
 func (sim *Simulation) updateInstances() {
@@ -108,6 +120,11 @@
 			sim.scheduleArrival(c, end)
 		}
 	}
+	for _, d := range sim.daemons {
+		if d.service.HasEpisodes() {
+			d.scheduleEpisode(end)
+		}
+	}
 	for _, f := range sim.plan.GetTroubles() {
 		sim.at(sim.start.Add(f.GetAt().AsDuration()), func() { sim.applyFault(f) })
 	}
@@ -122,13 +139,17 @@
 // scheduleArrival schedules the arrival of the next request of a class, which in turn
 // schedules the one after it. Arrivals form a Poisson process.
 func (sim *Simulation) scheduleArrival(c *schema.EmulatedClass, end time.Time) {
-	gap := time.Duration(sim.rng.ExpFloat64() / (c.GetRate() * sim.rateFactor) * float64(time.Second))
+	peak := sim.demand.peak(c.GetName())
+	gap := time.Duration(sim.rng.ExpFloat64() / (c.GetRate() * peak) * float64(time.Second))
 	sim.after(gap, func() {
 		if !sim.now.Before(end) {
 			return
 		}
 		sim.scheduleArrival(c, end)
 		d := sim.daemons[sim.rng.IntN(len(sim.daemons))]
+		if f := sim.demand.factor(sim.now.Sub(sim.start), c.GetName(), d.instance.Centre()); f < peak && sim.rng.Float64() >= f/peak {
+			return
+		}
 		sim.scores[c.GetName()].requests++
 		r := &request{class: c, daemon: d, objective: sim.now.Add(c.GetObjective().AsDuration()), deadline: sim.now.Add(c.GetDeadline().AsDuration())}
 		r.onDone = func(res result) { sim.handleResult(r, res, c.GetRetries()) }
@@ -158,8 +179,10 @@
 	end := sim.now.Add(f.GetFor().AsDuration())
 	switch f.GetKind() {
 	case schema.EmulatedTrouble_KIND_BURST:
-		sim.rateFactor = f.GetFactor()
-		sim.at(end, func() { sim.rateFactor = 1 })
+		sim.demand.bursts = append(sim.demand.bursts, f)
+		sim.at(end, func() {
+			sim.demand.bursts = slices.DeleteFunc(sim.demand.bursts, func(b *schema.EmulatedTrouble) bool { return b == f })
+		})
 	case schema.EmulatedTrouble_KIND_OUT:
 		sim.outOfService[f.GetCentre()] = true
 		sim.updateInstances()
