Compare failure rates between instances when placing requests

Cause: each failure or shed request raises the cost of its instance. When every backend server of a service sheds 55 % of all requests with free slots, all instances appear several times slower, except those that have not been observed lately. A third of the requests left the data centre to be shed elsewhere.

Change: the failure rate of an instance counts as far as it exceeds that of the others in its data centre, plus 0.35 of the difference between the data centre and the best one. The emulator counts the requests that leave a data centre. Touches every deployment in which requests fail or are shed.

--- a/cmd/lycheehead/emulate.go
+++ b/cmd/lycheehead/emulate.go
@@ -28,20 +28,21 @@
 	if err != nil {
 		return withCode(exitInvalid, "%w", err)
 	}
-	total, firstSeed := 0.0, plan.GetSeed()
+	total, remote, firstSeed := 0.0, 0, plan.GetSeed()
 	for n := range c.Seeds {
 		plan.SetSeed(firstSeed + n)
 		scores := emulate.NewSimulation(plan).Run()
 		fmt.Printf("seed %d\n", plan.GetSeed())
 		for _, name := range slices.Sorted(maps.Keys(scores)) {
 			fmt.Println(" ", scores[name])
+			remote += scores[name].Remote()
 		}
 		utility := emulate.TotalUtility(scores)
 		fmt.Printf("  worth %.3f\n", utility)
 		total += utility
 	}
 	if c.Seeds > 1 {
-		fmt.Printf("mean worth %.3f\n", total/float64(c.Seeds))
+		fmt.Printf("mean worth %.3f, %d requests sent to another data centre\n", total/float64(c.Seeds), remote/int(c.Seeds)) //nolint:gosec // a small number
 	}
 	return nil
 }
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -89,6 +89,9 @@
 // next.
 func (r *request) forward(i fleet.Instance, redirectable bool, next func()) {
 	sim, to := r.daemon.sim, r.daemon.sim.byID[i.ID()]
+	if i.Centre() != r.daemon.instance.Centre() {
+		sim.scores[r.class.GetName()].remote++
+	}
 	r.daemon.send(to, func() {
 		to.admit(r, redirectable, func(a upstream.Attempt) {
 			report := to.loadReport(r.class.GetName())
--- a/internal/emulate/score.go
+++ b/internal/emulate/score.go
@@ -13,6 +13,8 @@
 	requests, inTime, late, refused, failed int
 	// retries counts the retries by callers after a refusal.
 	retries int
+	// remote counts the requests that were sent to another data centre.
+	remote int
 }
 
 func (s *Score) record(now time.Time, r *request, res result) {
@@ -31,6 +33,10 @@
 // Requests returns the number of requests, not counting retries by callers.
 func (s *Score) Requests() int { return s.requests }
 
+// Remote returns how often a request was sent to another data centre. The links between data
+// centres are billed by traffic.
+func (s *Score) Remote() int { return s.remote }
+
 // Utility returns the credit for the served requests, as a fraction of the credit for
 // serving every request within its objective. A request that is served late earns the
 // class's lower credit.
--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -22,11 +22,6 @@
 	// instance is avoided. The time doubles with each consecutive failure.
 	minUnavailableBackoff = 250 * time.Millisecond
 	maxUnavailableBackoff = 2 * time.Second
-	// failureWeight is the weight of the latest response in an instance's failure
-	// rate.
-	failureWeight = 0.1
-	// failureHalfLife is the half-life of an instance's failure rate.
-	failureHalfLife = 2 * time.Second
 	// hopCost is the cost of sending a request to another machine of the data centre.
 	hopCost = time.Millisecond
 	// A request that leaves the data centre costs remoteCostShare of the time left to
@@ -113,7 +108,9 @@
 	// reportedLoad is the number of requests last reported, decayed with the age of
 	// the report.
 	reportedLoad float64
-	// failureRate is the share of recent responses that were failures.
+	// failures is the share of recent responses that were failures, and failureRate that share
+	// as far as the other instances of the service fail less often.
+	failures    failureRate
 	failureRate float64
 	local       bool
 	sameCentre  bool
@@ -186,12 +183,7 @@
 	reportedAt   time.Time
 	avoidUntil   time.Time
 	unavailables int
-	failureRate  float64
-	ratedAt      time.Time
-}
-
-func (s instanceState) failureRateAt(now time.Time) float64 {
-	return s.failureRate * math.Exp2(-now.Sub(s.ratedAt).Seconds()/failureHalfLife.Seconds())
+	failures     failureRate
 }
 
 // Balancer chooses instances for requests. It is safe for concurrent use. Use
@@ -256,12 +248,15 @@
 	// are compared.
 	eligible := make([]int, 0, len(instances))
 	var inBackoff []int
+	rates := failureRates{now: now}
 	for n := range instances {
 		i := &instances[n]
+		s, _ := b.instances.Get(i.ID())
+		rates.add(i.Centre(), s.failures)
 		if slices.Contains(tried, i.ID()) || b.Unreachable(i.Address().Host()) {
 			continue
 		}
-		if s, _ := b.instances.Get(i.ID()); now.Before(s.avoidUntil) {
+		if now.Before(s.avoidUntil) {
 			inBackoff = append(inBackoff, n)
 			continue
 		}
@@ -273,7 +268,7 @@
 	if len(eligible) == 0 {
 		return Placement{}, false
 	}
-	best := b.cheapest(now, rnd, r, instances, eligible)
+	best := b.cheapest(rnd, r, instances, eligible, rates)
 	b.addInflight(best.instance.ID())
 	return best, true
 }
@@ -301,7 +296,7 @@
 		report:       s.report,
 		inflight:     s.inflight,
 		reportedLoad: float64(s.report.running+s.report.waiting) * math.Exp2(-halfLives),
-		failureRate:  s.failureRateAt(now),
+		failures:     s.failures,
 		local:        i.Address().Host() == b.host,
 		sameCentre:   i.Centre() == b.centre,
 		runTime:      b.runTime(i.ID(), r.kind),
@@ -344,8 +339,8 @@
 const kindFailureWeight = 0.05
 
 // cheapest returns the cheapest placement at a random sample of candidates, which are indices
-// of instances. The sample always includes the local one.
-func (b *Balancer[P]) cheapest(now time.Time, rnd Rand, r Request, instances []fleet.Instance, candidates []int) Placement {
+// of instances. The sample always includes the local one. rates are those of all instances.
+func (b *Balancer[P]) cheapest(rnd Rand, r Request, instances []fleet.Instance, candidates []int, rates failureRates) Placement {
 	rnd.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	best, bestCost := Placement{}, math.Inf(1)
 	sameCentre, remote := sameCentreSamples, remoteSamples
@@ -359,7 +354,8 @@
 			continue
 		}
 		*left = max(0, *left-1)
-		p := b.placement(now, r, *i)
+		p := b.placement(rates.now, r, *i)
+		p.failureRate = rates.excess(i.Centre(), p.failures)
 		if c := b.costModel.Cost(p); c < bestCost {
 			best, bestCost = p, c
 		}
@@ -386,12 +382,7 @@
 func (s *instanceState) record(now time.Time, result AttemptResult) {
 	switch result {
 	case Succeeded, Failed, Shed:
-		failed := 1.0
-		if result == Succeeded {
-			failed = 0
-		}
-		s.failureRate = s.failureRateAt(now)*(1-failureWeight) + failed*failureWeight
-		s.ratedAt = now
+		s.failures.record(now, result != Succeeded)
 		s.unavailables = 0
 	case DaemonUnreachable:
 	case Overloaded:
