Adopt a new era of the operators' store

A store that is restored from an older copy assigns revisions again, so a copy that is merged by revision alone keeps lost values and ignores new ones. The position of a replica is now an era and a revision, compared era first. A reader that gets a response of a later era lists all items, not serializably, and replaces its copy once all prefixes have been read in one era. Messages between daemons carry the era; changes of another era are ignored, and a daemon that hears of a later one asks for everything. The version of the configuration only increases, as before. Responses of an earlier era than the known one are refused, so that another reader takes over.

--- a/internal/sidecar/control_test.go
+++ b/internal/sidecar/control_test.go
@@ -20,15 +20,18 @@
 	for i := range 40 {
 		items = append(items, replica.NewItem(fmt.Sprintf("key-%d", i), []byte(strings.Repeat("value ", 100)), uint64(i+1)))
 	}
-	data, err := g.pack(items)
+	data, err := g.pack(1, items)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if again, _ := g.pack(items); &again[0] != &data[0] {
+	if again, _ := g.pack(1, items); &again[0] != &data[0] {
 		t.Error("the items were packed again")
 	}
+	if other, _ := g.pack(2, items); &other[0] == &data[0] {
+		t.Error("items of another era were taken for the same")
+	}
 	items[3] = replica.NewItem("key-3", []byte("other"), 99)
-	if other, _ := g.pack(items); &other[0] == &data[0] {
+	if other, _ := g.pack(1, items); &other[0] == &data[0] {
 		t.Error("other items were taken for the same")
 	}
 	m.SetPacked(data)
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -16,7 +16,7 @@
 func (g *gossiper) newMessage() *schema.Exchange {
 	m := &schema.Exchange{}
 	m.SetFrom(g.self)
-	m.SetRevision(g.replica.Revision())
+	setPosition(m, g.replica.Position())
 	m.SetAge(g.reportedAge(time.Now()).Microseconds())
 	m.SetAway(g.watcher.ineligible())
 	m.SetLeaving(g.watcher.leaving.Load())
@@ -24,6 +24,13 @@
 	return m
 }
 
+// setPosition sets the position up to which this daemon has all changes. It sets the era also
+// where it is 0, which shows that this daemon knows of eras.
+func setPosition(m *schema.Exchange, p replica.Position) {
+	m.SetEra(p.Era())
+	m.SetRevision(p.Revision())
+}
+
 // reportedAge returns the replica's age as sent to other daemons.
 func (g *gossiper) reportedAge(now time.Time) time.Duration {
 	if g.confirmedAt.Load() == 0 {
@@ -32,19 +39,19 @@
 	return g.age(now)
 }
 
-// attachChanges adds the changes after a revision to a message, or all items if
-// the replica may have purged some of these changes.
-func (g *gossiper) attachChanges(m *schema.Exchange, after uint64) {
+// attachChanges adds the changes after a position to a message, or all items if
+// it is in another era or the replica may have purged some of these changes.
+func (g *gossiper) attachChanges(m *schema.Exchange, after replica.Position) {
 	items, upTo, full := g.replica.ChangesSince(after)
-	m.SetRevision(upTo)
+	setPosition(m, upTo)
 	m.SetWhole(full)
-	m.SetAfter(after)
+	m.SetAfter(after.Revision())
 	size := 0
 	for _, i := range items {
 		size += len(i.Value())
 	}
 	if size >= compressionThreshold {
-		if packed, err := g.pack(items); err == nil {
+		if packed, err := g.pack(upTo.Era(), items); err == nil {
 			m.SetPacked(packed)
 			return
 		}
@@ -60,10 +67,11 @@
 }
 
 // pack returns the items as a compressed message. A change goes to several daemons in
-// succession, so the last result is kept.
-func (g *gossiper) pack(items []replica.Item) ([]byte, error) {
+// succession, so the last result is kept. Revisions identify the items within an era.
+func (g *gossiper) pack(era uint64, items []replica.Item) ([]byte, error) {
 	var h xxhash.Digest
 	h.Reset()
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, era))
 	for _, i := range items {
 		_, _ = h.WriteString(i.Key())
 		_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte{0}, i.Revision()))
@@ -94,7 +102,7 @@
 }
 
 // receive processes a message from another daemon and reports whether that
-// daemon's revision is behind this one's.
+// daemon's position is behind this one's.
 func (g *gossiper) receive(now time.Time, m *schema.Exchange) bool {
 	if m.GetFrom() == "" {
 		return false
@@ -106,13 +114,18 @@
 	// The store's revision also increases when keys change that daemons do not
 	// replicate, so a higher revision without items is no reason to recheck peers.
 	if m.HasAfter() {
-		before := g.replica.Revision()
+		before := g.replica.Position()
 		g.receiveItems(now, m)
-		if len(m.GetItems()) > 0 && g.replica.Revision() > before {
+		if len(m.GetItems()) > 0 && before.Before(g.replica.Position()) {
 			g.recheckPeers(m.GetFrom())
 		}
 	}
-	if g.replica.Revision() >= m.GetRevision() && m.GetRevision() > 0 {
+	own, theirs := g.replica.Position(), messagePosition(m)
+	switch {
+	case own.Era() < theirs.Era():
+		g.catchUp(m.GetFrom())
+	// What a daemon of an earlier era holds to be current may be an old copy of the store.
+	case own.Era() == theirs.Era() && !own.Before(theirs) && theirs.Revision() > 0:
 		g.confirmCurrent(now.Add(-time.Duration(m.GetAge()) * time.Microsecond))
 	}
 	for _, c := range m.GetCrashes() {
@@ -123,7 +136,7 @@
 	if ip := m.GetUnreached(); ip != "" && ip != g.self {
 		g.events.spawn(func() { g.detector.checkReachable(ip) })
 	}
-	return m.GetRevision() < g.replica.Revision()
+	return g.reachedPosition(m).Before(g.replica.Position())
 }
 
 func (g *gossiper) receiveItems(now time.Time, m *schema.Exchange) {
@@ -135,10 +148,16 @@
 			items = append(items, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()))
 		}
 	}
-	if m.GetWhole() && m.GetRevision() > 0 {
-		g.replacePrefix(now, "", items, m.GetRevision())
-		g.replica.AdvanceRevision(m.GetRevision())
-		return
+	at := messagePosition(m)
+	switch {
+	case at.Era() < g.replica.Position().Era():
+		g.earlierEraMessages.Add(1)
+		if len(items) > 0 {
+			g.events.stateChange("items of an earlier era ignored", "from", m.GetFrom(), "at", at.String(), "items", len(items))
+		}
+	case m.GetWhole() && at.Revision() > 0:
+		g.replaceAll(now, items, at, m.GetFrom())
+	default:
+		g.applyChanges(now, items, m.GetAfter(), at)
 	}
-	g.applyChanges(now, items, m.GetAfter(), m.GetRevision())
 }
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -27,6 +27,9 @@
 	// in nanoseconds since startedAt, or 0 if it never was.
 	confirmedAt atomic.Int64
 	startedAt   time.Time
+	// heldChanges holds the instances that a new era shows as ready although they were
+	// draining, by key, guarded by applyMu.
+	heldChanges map[string]heldChange
 	// rejectedItems counts the items that could not be decoded.
 	rejectedItems atomic.Int64
 	// onChange is called with applyMu held after changes were applied.
@@ -35,27 +38,28 @@
 
 func newFleetState(d Decoder, e *events, now time.Time) *fleetState {
 	return &fleetState{
-		decoder:   d,
-		events:    e,
-		replica:   replica.New(),
-		fleet:     fleet.New(),
-		applyMu:   lock.New(lock.Config),
-		startedAt: now,
-		onChange:  func(time.Time) {},
+		decoder:     d,
+		events:      e,
+		replica:     replica.New(),
+		heldChanges: make(map[string]heldChange),
+		fleet:       fleet.New(),
+		applyMu:     lock.New(lock.Config),
+		startedAt:   now,
+		onChange:    func(time.Time) {},
 	}
 }
 
-// applyChanges merges the changes between two revisions and applies those that
-// are new.
-func (s *fleetState) applyChanges(now time.Time, items []replica.Item, after, upTo uint64) {
+// applyChanges merges the changes after a revision up to a position of the same era and applies
+// those that are new.
+func (s *fleetState) applyChanges(now time.Time, items []replica.Item, after uint64, upTo replica.Position) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.applyItems(now, s.replica.Apply(now, items, after, upTo))
 }
 
-// replacePrefix merges all items under a prefix as of a revision and applies
+// replacePrefix merges all items under a prefix as of a position and applies
 // those that are new.
-func (s *fleetState) replacePrefix(now time.Time, prefix string, items []replica.Item, at uint64) {
+func (s *fleetState) replacePrefix(now time.Time, prefix string, items []replica.Item, at replica.Position) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.applyItems(now, s.replica.Replace(now, prefix, items, at))
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -13,6 +13,7 @@
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/replica"
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
@@ -64,6 +65,10 @@
 	packed atomic.Pointer[packedItems]
 	// syncPending is set while a call of runDelayed is scheduled.
 	syncPending atomic.Bool
+	// catchingUp is set while a daemon of a later era is asked for all items.
+	catchingUp atomic.Bool
+	// earlierEraMessages counts the messages with changes of an earlier era.
+	earlierEraMessages atomic.Int64
 	// joined is set once the daemons of the data centre were greeted.
 	joined atomic.Bool
 	// daemonCount is the number of daemons in the fleet.
@@ -134,7 +139,7 @@
 	behind := g.receive(now, m)
 	answer = g.newMessage()
 	if behind && m.GetWant() {
-		transfer = g.answerChanges(answer, m.GetRevision())
+		transfer = g.answerChanges(answer, g.reachedPosition(m))
 	}
 	if m.GetGreeting() {
 		daemons, _ := g.watcher.roster.introductions(0)
@@ -147,13 +152,13 @@
 	return answer, transfer
 }
 
-// answerChanges adds the changes after a revision to the answer to a daemon that asked for
+// answerChanges adds the changes after a position to the answer to a daemon that asked for
 // them. While other large messages take the link, a large answer is left out: the daemon
 // gets the changes along the distribution tree, or asks another one. Only a daemon without
 // any content gets it at once, since it cannot serve requests before.
-func (g *gossiper) answerChanges(answer *schema.Exchange, after uint64) *peer.Transfer {
+func (g *gossiper) answerChanges(answer *schema.Exchange, after replica.Position) *peer.Transfer {
 	g.attachChanges(answer, after)
-	if !answer.HasPacked() || after == 0 {
+	if !answer.HasPacked() || after.Revision() == 0 {
 		return nil
 	}
 	transfer, ok := g.transfers.TryBegin()
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -93,20 +93,23 @@
 	// ErrCompacted is returned by Source.Watch if the store no longer has all
 	// changes after the requested revision.
 	ErrCompacted = eris.New("changes since the requested revision are no longer available")
+	// ErrEarlierEra is returned by a Source for a list that the store has begun in one era and
+	// continued in another, and by a daemon for a response of an era that it has left.
+	ErrEarlierEra = eris.New("store answers from an earlier era")
 	// ErrStoreUnavailable is returned by a Source while the store cannot be read.
 	ErrStoreUnavailable = eris.New("store is unavailable")
 )
 
 // Source reads the operators' store.
 type Source interface {
-	// List returns all items under a prefix and the revision up to which the
+	// List returns all items under a prefix and the position up to which the
 	// list is complete. Unless current is set, the list may be some seconds
 	// old, which costs the store less.
-	List(ctx context.Context, prefix string, current bool) (items []replica.Item, revision uint64, err error)
+	List(ctx context.Context, prefix string, current bool) (items []replica.Item, at replica.Position, err error)
 	// Watch returns the changes under a prefix after a revision as soon as
-	// there are any, or none after wait. The returned revision is the one to continue
-	// from.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []replica.Item, revision uint64, err error)
+	// there are any, or none after wait. The returned position is the one to continue
+	// from. If it is in another era than the revision, the changes have no meaning.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (items []replica.Item, upTo replica.Position, err error)
 }
 
 // Decoder decodes items of the store.
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -13,6 +13,7 @@
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/replica"
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
@@ -55,13 +56,13 @@
 // pushState is the state of the pushes to one daemon. At most one goroutine at a
 // time sends to a daemon, so that nothing is sent twice.
 type pushState struct {
-	// revision is the revision that the daemon last reported, valid if revisionKnown
+	// position is the position that the daemon last reported, valid if positionKnown
 	// is set.
-	revision      uint64
-	revisionKnown bool
-	// targetRevision is the revision up to which the daemon has to be updated.
-	targetRevision uint64
-	inProgress     bool
+	position      replica.Position
+	positionKnown bool
+	// target is the position up to which the daemon has to be updated.
+	target     replica.Position
+	inProgress bool
 	// remote indicates that the daemon is in another data centre, which reads the store
 	// itself. Items are exchanged only if the replica that lacks them is outdated.
 	remote bool
@@ -162,33 +163,35 @@
 	}
 }
 
-// pushTo pushes the changes up to the current revision to a daemon. If a push is in
+// pushTo pushes the changes up to the current position to a daemon. If a push is in
 // progress, its next message contains them.
 func (g *gossiper) pushTo(ip string) {
-	g.startPush(ip, pushState{targetRevision: g.replica.Revision()})
+	g.startPush(ip, pushState{target: g.replica.Position()})
 }
 
 // startPush starts sending to a daemon until it has reached the requested target
-// revision. If that is zero, it syncs once. A push in progress is extended to the
-// target revision.
+// position. If that is zero, it syncs once. A push in progress is extended to the
+// target position.
 func (g *gossiper) startPush(ip string, requested pushState) {
 	var p pushState
 	start := false
 	g.pushes.Update(ip, func(old pushState, _ bool) (pushState, bool) {
 		start = !old.inProgress
 		old.inProgress = true
-		old.targetRevision = max(old.targetRevision, requested.targetRevision)
+		if old.target.Before(requested.target) {
+			old.target = requested.target
+		}
 		p = old
 		return old, true
 	})
 	if !start {
 		return
 	}
-	p.revisionKnown = p.revisionKnown && requested.targetRevision > 0
+	p.positionKnown = p.positionKnown && requested.target != replica.Position{}
 	g.events.spawn(func() { g.pushLoop(ip, p) })
 }
 
-// pushLoop sends to a daemon until it has reached the target revision or a push has
+// pushLoop sends to a daemon until it has reached the target position or a push has
 // failed.
 func (g *gossiper) pushLoop(ip string, p pushState) {
 	for p.inProgress {
@@ -197,7 +200,7 @@
 		if g.watcher.roster.learned.Load() != introduced && g.watcher.distributes(time.Now()) {
 			p.daemons, introduced = g.watcher.roster.introductions(introduced)
 		}
-		revision, err := g.syncPeer(ip, p, pushAttempts)
+		position, err := g.syncPeer(ip, p, pushAttempts)
 		if err != nil {
 			g.events.stateChange("push to daemon failed", "ip", ip, "error", err.Error())
 			g.markSilent(ip, err)
@@ -205,13 +208,13 @@
 		g.pushes.Update(ip, func(old pushState, _ bool) (pushState, bool) {
 			if err != nil {
 				old.failures++
-				old.revisionKnown, old.inProgress = false, false
+				old.positionKnown, old.inProgress = false, false
 				old.introduced = 0
 			} else {
 				old.failures = 0
-				old.revision, old.revisionKnown = revision, true
+				old.position, old.positionKnown = position, true
 				old.introduced = introduced
-				old.inProgress = revision < old.targetRevision
+				old.inProgress = position.Before(old.target)
 			}
 			p = old
 			return old, true
@@ -219,7 +222,7 @@
 	}
 }
 
-// syncOnce compares revisions with a daemon and sends it the changes that it lacks. remote
+// syncOnce compares positions with a daemon and sends it the changes that it lacks. remote
 // states that the daemon is in another data centre.
 func (g *gossiper) syncOnce(ip string, remote bool) {
 	if _, err := g.syncPeer(ip, pushState{remote: remote}, 1); err != nil {
@@ -235,10 +238,10 @@
 	}
 }
 
-// syncPeer sends a daemon the changes that it lacks and returns the revision that
-// it has reached. If its revision is not known, the first message requests it, and
+// syncPeer sends a daemon the changes that it lacks and returns the position that
+// it has reached. If its position is not known, the first message requests it, and
 // the answer contains the changes that this daemon lacks.
-func (g *gossiper) syncPeer(ip string, p pushState, attempts int) (revision uint64, err error) {
+func (g *gossiper) syncPeer(ip string, p pushState, attempts int) (position replica.Position, err error) {
 	var transfer *peer.Transfer
 	endTransfer := func() {
 		if transfer != nil {
@@ -253,8 +256,8 @@
 		m.SetGreeting(p.greeting)
 		m.SetDaemons(p.daemons)
 		timeout := pushTimeout
-		if p.revisionKnown {
-			g.attachChanges(m, p.revision)
+		if p.positionKnown {
+			g.attachChanges(m, p.position)
 		} else {
 			m.SetWant(!p.remote || g.reportedAge(time.Now()) > outdatedAge)
 			if transfer == nil {
@@ -264,12 +267,12 @@
 		if m.HasPacked() && transfer == nil {
 			var waited, repair bool
 			if transfer, waited, repair, err = g.beginTransfer(ip); err != nil {
-				return 0, err
+				return replica.Position{}, err
 			}
 			if waited {
 				// There may be newer changes now, and others may have sent them to the
 				// daemon, unless it gets them from this one.
-				p.revisionKnown = !repair
+				p.positionKnown = !repair
 				continue
 			}
 		}
@@ -278,18 +281,18 @@
 			// A daemon that does not answer must not hold up the transfers to others.
 			endTransfer()
 			if failed++; failed >= attempts {
-				return 0, fmt.Errorf("sync to revision %d: %w", m.GetRevision(), err)
+				return replica.Position{}, fmt.Errorf("sync to position %s: %w", messagePosition(m), err)
 			}
 			continue
 		}
 		behind := g.receive(time.Now(), answer)
 		if !behind || p.remote && time.Duration(answer.GetAge())*time.Microsecond <= outdatedAge {
-			return answer.GetRevision(), nil
+			return g.reachedPosition(answer), nil
 		}
-		p.revision, p.revisionKnown, p.daemons = answer.GetRevision(), true, nil
+		p.position, p.positionKnown, p.daemons = g.reachedPosition(answer), true, nil
 		round++
 	}
-	return p.revision, nil
+	return p.position, nil
 }
 
 // beginTransfer waits until a large message may be sent to a daemon. It reports whether it had
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -205,13 +205,22 @@
 	}
 }
 
-// Decode implements Decoder. The key i/NAME is an instance and c/N a configuration
-// version.
+// Decode implements Decoder. The key i/NAME is an instance, c/N a configuration
+// version, c/config one whose value is its number, and c/evacuate-CENTRE an evacuation.
 func (node *testNode) Decode(i replica.Item) (Change, error) {
 	node.net.mu.Lock()
 	node.receivedAt[i.Key()] = time.Now()
 	node.net.mu.Unlock()
 	kind, name, _ := strings.Cut(i.Key(), "/")
+	if centre, ok := strings.CutPrefix(name, "evacuate-"); ok {
+		return NewEvacuationChange(centre, !i.Removed()), nil
+	}
+	if kind == "c" && i.Removed() {
+		return nil, nil //nolint:nilnil // as the decoder of the platform
+	}
+	if name == "config" {
+		name = string(i.Value())
+	}
 	if kind == "c" {
 		n, err := strconv.ParseUint(name, 10, 64)
 		if err != nil {
@@ -227,34 +236,38 @@
 		return NewRemovalChange(name), nil
 	}
 	f := strings.Fields(string(i.Value()))
-	return NewInstanceChange(fleet.NewInstance(name, f[2], f[1], fleet.NewAddress(f[0], 80), time.Unix(0, 0))), nil
+	draining := len(f) > 3
+	return NewInstanceChange(fleet.NewInstance(name, f[2], f[1], fleet.NewAddress(f[0], 80), time.Unix(0, 0)).WithState(draining, 0)), nil
 }
 
 // List implements Source.
-func (node *testNode) List(ctx context.Context, prefix string, _ bool) ([]replica.Item, uint64, error) {
-	items, revision, err := node.read(ctx, 0, 0)
+func (node *testNode) List(ctx context.Context, prefix string, _ bool) ([]replica.Item, replica.Position, error) {
+	items, at, err := node.read(ctx, listAll, 0)
 	if err == nil {
 		err = node.net.store.listError(prefix)
 	}
-	return slices.DeleteFunc(items, func(i replica.Item) bool { return !strings.HasPrefix(i.Key(), prefix) }), revision, err
+	return slices.DeleteFunc(items, func(i replica.Item) bool { return !strings.HasPrefix(i.Key(), prefix) }), at, err
 }
 
 // Watch implements Source.
-func (node *testNode) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
-	items, revision, err := node.read(ctx, after, wait)
+func (node *testNode) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]replica.Item, replica.Position, error) {
+	items, upTo, err := node.read(ctx, after, wait)
 	if err == nil {
 		err = node.net.store.watchError()
 	}
-	return items, revision, err
+	return items, upTo, err
 }
 
-func (node *testNode) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, uint64, error) {
+func (node *testNode) read(ctx context.Context, after uint64, wait time.Duration) ([]replica.Item, replica.Position, error) {
 	sleep(ctx, 4*time.Millisecond)
 	node.net.mu.Lock()
-	reachable := node.storeReachable && !node.partitioned
+	reachable, old := node.storeReachable && !node.partitioned, node.readsOldCopy
 	node.net.mu.Unlock()
 	if !reachable {
-		return nil, 0, ErrStoreUnavailable
+		return nil, replica.Position{}, ErrStoreUnavailable
+	}
+	if old {
+		return node.net.store.readOldCopy(after)
 	}
 	return node.net.store.read(ctx, after, wait)
 }
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -119,6 +119,8 @@
 	// running indicates that the process runs, storeReachable that it can reach the
 	// store, and partitioned that it can reach neither the store nor any other daemon.
 	running, storeReachable, partitioned bool
+	// readsOldCopy states that it reads the store as of the era before.
+	readsOldCopy bool
 	// linkFree is when the daemon's link will have sent all messages.
 	linkFree time.Time
 	// receivedAt is when the daemon received the last change of each key.
@@ -209,6 +211,42 @@
 			break
 		}
 		n.store.setUnavailable(step[1] == "away")
+	case "restore": // restore D: the store comes back from a copy that is D old
+		n.store.setUnavailable(false)
+		ago, err := time.ParseDuration(step[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.store.restore(ago)
+	case "oldcopy", "newcopy": // the daemons read the store as of the era before, or as it is
+		forEach(func(node *testNode) { node.readsOldCopy = step[0] == "oldcopy" })
+	case "failing": // failing PREFIX: lists of PREFIX fail, or none if it is none
+		n.store.fail(strings.TrimPrefix(step[1], "none"))
+	case "config": // config N: version N, under the same key as the others
+		n.store.put("c/config", step[1], false)
+	case "enter": // enter ID NAME: another instance beside a daemon
+		n.store.put("i/"+step[1], n.nodes[step[2]].entry(), false)
+	case "usable": // usable ID: which daemons do not use an instance
+		return n.listNodes(func(node *testNode) bool {
+			_, usable, _ := node.gossiper.fleet.Get(time.Now(), step[1])
+			return !usable
+		})
+	case "drain":
+		for _, name := range step[1:] {
+			n.store.put("i/"+name, n.nodes[name].entry()+" draining", false)
+		}
+	case "evacuate", "return": // evacuate CENTRE
+		n.store.put("c/evacuate-"+step[1], "", step[0] == "return")
+	case "eras": // which daemons are not at the store's position
+		at := n.store.position()
+		return n.listNodes(func(node *testNode) bool { return node.gossiper.replica.Position() != at })
+	case "versions": // versions N: which daemons have another version in force
+		return n.listNodes(func(node *testNode) bool {
+			cfg := node.gossiper.config.Load()
+			return cfg == nil || cfg.Version() != uint64(atoi(t, step[1]))
+		})
+	case "evacuated": // evacuated CENTRE: which daemons hold that it is in service
+		return n.listNodes(func(node *testNode) bool { return !node.gossiper.fleet.Evacuated(step[1]) })
 	case "compact": // compact PREFIX: watches fail with a discarded history, and lists of PREFIX
 		n.store.compact(step[1])
 	case "shut":
@@ -526,6 +564,18 @@
 	return fmt.Sprintf("gone at %v", names)
 }
 
+// listNodes returns the names of the running daemons for which a condition holds.
+func (n *testNet) listNodes(holds func(*testNode) bool) string {
+	names := []string{}
+	for name, node := range n.nodes {
+		if node.running && holds(node) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return fmt.Sprintf("not at %v", names)
+}
+
 // checkAge returns which daemons have a replica that was last confirmed to be
 // current longer than the bound ago, or in the future.
 func (n *testNet) checkAge(maxAge time.Duration) string {
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	// was stale or no reader was heard, in nanoseconds since startedAt.
 	fallbackUntil atomic.Int64
 	roster        *roster
+	// storeEra is the latest era that the store has stated. Only the goroutine of run uses it.
+	storeEra uint64
 	// reading is set while this daemon reads the store.
 	reading atomic.Bool
 	// onTakeover is called when this daemon has begun to read the store in place of the
@@ -223,7 +226,7 @@
 // shouldRead returns true.
 func (w *storeWatcher) listAndWatch(ctx context.Context) error {
 	defer w.reading.Store(false)
-	if w.replica.Revision() == 0 {
+	if w.replica.Position().Revision() == 0 {
 		// The list may be stale. The watch that follows returns the changes
 		// that it lacks.
 		if err := w.list(ctx, false); err != nil {
@@ -231,7 +234,7 @@
 		}
 	}
 	if !w.storeUnreachable.Load() {
-		w.events.stateChange("watching store", "revision", w.replica.Revision())
+		w.events.stateChange("watching store", "position", w.replica.Position().String())
 	}
 	wait := firstWatchWait
 	for ctx.Err() == nil && w.shouldRead(time.Now()) {
@@ -239,7 +242,7 @@
 		err := w.watch(ctx, wait)
 		wait = watchWait
 		if errors.Is(err, ErrCompacted) {
-			w.events.stateChange("store history compacted, listing all items", "revision", w.replica.Revision())
+			w.events.stateChange("store history compacted, listing all items", "position", w.replica.Position().String())
 			err = w.list(ctx, true)
 		}
 		if err != nil {
@@ -264,47 +267,106 @@
 }
 
 // list reads all items under the prefixes. Unless current is set, they may be some
-// seconds old.
+// seconds old. Lists of the replica's era are applied one by one. Those of a later era replace
+// the replica's content once all of them have been read in one era. An empty replica adopts any
+// era; another one reads current lists for it.
 func (w *storeWatcher) list(ctx context.Context, current bool) error {
-	var complete uint64
 	begin := time.Now()
+	known := w.replica.Position()
+	var all []replica.Item
+	var complete replica.Position
 	for i, prefix := range w.prefixes {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		items, revision, err := w.source.List(ctx, prefix, current)
-		cancel()
+		items, at, err := w.listPrefix(ctx, prefix, current)
 		if err != nil {
-			return err //nolint:wrapcheck // the source's error describes what failed
+			return err
+		}
+		if i > 0 && at.Era() > complete.Era() || at.Era() > known.Era() && known.Revision() > 0 && !current {
+			// The store has been restored meanwhile. Since storeEra has been raised, this
+			// happens once in each era.
+			return w.list(ctx, true)
 		}
-		w.replacePrefix(time.Now(), prefix, items, revision)
-		if i == 0 || revision < complete {
-			complete = revision
+		if at.Era() == known.Era() {
+			w.replacePrefix(time.Now(), prefix, items, at)
 		}
+		all = append(all, items...)
+		if i == 0 || at.Before(complete) {
+			complete = at
+		}
+	}
+	adopt := func() { w.replica.AdvanceTo(complete) }
+	if complete.Era() > known.Era() {
+		adopt = func() { w.replaceAll(time.Now(), all, complete, "store") }
 	}
-	w.replica.AdvanceRevision(complete)
-	if current {
+	switch {
+	case !current:
+		adopt()
+	case complete.Era() > known.Era():
+		// The next watch may wait for long, and until then this daemon would count as one that
+		// cannot read the store.
+		w.readCurrent(begin, adopt)
+	default:
+		adopt()
 		w.confirmCurrent(begin)
 	}
 	return nil
 }
 
+// readCurrent records that this daemon reads the store, as which the replica is once apply has
+// been called, and applies what was read.
+func (w *storeWatcher) readCurrent(at time.Time, apply func()) {
+	w.storeUnreachable.Store(false)
+	w.confirmCurrent(at)
+	takeover := !w.reading.Swap(true) && w.roster.sinceReader(time.Now()) > readerTimeout
+	apply()
+	if takeover {
+		w.onTakeover()
+	}
+}
+
+func (w *storeWatcher) listPrefix(ctx context.Context, prefix string, current bool) ([]replica.Item, replica.Position, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, at, err := w.source.List(ctx, prefix, current)
+	if err != nil {
+		return nil, at, err //nolint:wrapcheck // the source's error describes what failed
+	}
+	return items, at, w.checkEra(at)
+}
+
+// checkEra records the era of a response of the store. It returns an error if the response comes
+// from a copy of an earlier era than that of the replica or of another response.
+func (w *storeWatcher) checkEra(at replica.Position) error {
+	if known := max(w.storeEra, w.replica.Position().Era()); at.Era() < known {
+		return fmt.Errorf("%w: %d after %d", ErrEarlierEra, at.Era(), known)
+	}
+	w.storeEra = at.Era()
+	return nil
+}
+
 // watch waits for changes for the given time and applies them. The store's response confirms that,
-// apart from these changes, the replica is current.
+// apart from these changes, the replica is current. A response of a later era makes it list all
+// items.
 func (w *storeWatcher) watch(ctx context.Context, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
-	after := w.replica.Revision()
-	items, revision, err := w.source.Watch(ctx, watchPrefix, after, wait)
+	after := w.replica.Position()
+	items, upTo, err := w.source.Watch(watchCtx, watchPrefix, after.Revision(), wait)
 	if err != nil {
 		return err //nolint:wrapcheck // the source's error describes what failed
 	}
-	now := time.Now()
-	w.storeUnreachable.Store(false)
-	w.confirmCurrent(now)
-	takeover := !w.reading.Swap(true) && w.roster.sinceReader(now) > readerTimeout
-	w.applyChanges(now, w.filterByPrefix(items), after, revision)
-	if takeover {
-		w.onTakeover()
+	if upTo.Era() == after.Era() && after.Era() < w.replica.Position().Era() {
+		// The replica has learned of a new era from another daemon meanwhile.
+		return nil
 	}
+	if err := w.checkEra(upTo); err != nil {
+		return err
+	}
+	if upTo.Era() > after.Era() {
+		w.events.stateChange("store in new era, listing all items", "position", after.String(), "store", upTo.String())
+		return w.list(ctx, true)
+	}
+	now := time.Now()
+	w.readCurrent(now, func() { w.applyChanges(now, w.filterByPrefix(items), after.Revision(), upTo) })
 	return nil
 }
 
