Restore the stand-in store from older copies, and play it in the soak

The new lane store of the soak writes versions, restores the store, and writes what was lost again within two seconds, then another version.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,7 +19,7 @@
 	Seed     uint64        `default:"1" help:"Seed of the schedule and of the requests."`
 	Size     int           `default:"12" help:"Number of instances."`
 	Length   time.Duration `default:"60s" help:"Duration of the load."`
-	Lanes    []string      `help:"Kinds of disruptions (stops, settings, backends, logs, failures, network). Drawn from the seed by default."`
+	Lanes    []string      `help:"Kinds of disruptions (stops, settings, backends, logs, failures, network, store). Drawn from the seed by default."`
 	Callers  int           `default:"6" help:"Callers of each instance."`
 	Pause    time.Duration `default:"200ms" help:"Longest pause of a caller between two requests."`
 	Schedule bool          `help:"Print the schedule, then exit."`
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -93,9 +93,9 @@
 	// ErrCompacted is returned by Source.Watch if the store no longer has all
 	// changes after the requested revision.
 	ErrCompacted = eris.New("changes since the requested revision are no longer available")
-	// ErrEarlierEra is returned by a Source for a list that the store has begun in one era and
+	// ErrOtherEra is returned by a Source for a list that the store has begun in one era and
 	// continued in another, and by a daemon for a response of an era that it has left.
-	ErrEarlierEra = eris.New("store answers from an earlier era")
+	ErrOtherEra = eris.New("response of another era of the store")
 	// ErrStoreUnavailable is returned by a Source while the store cannot be read.
 	ErrStoreUnavailable = eris.New("store is unavailable")
 )
--- a/internal/sidecar/store_watcher.go
+++ b/internal/sidecar/store_watcher.go
@@ -337,7 +337,7 @@
 // from a copy of an earlier era than that of the replica or of another response.
 func (w *storeWatcher) checkEra(at replica.Position) error {
 	if known := max(w.storeEra, w.replica.Position().Era()); at.Era() < known {
-		return fmt.Errorf("%w: %d after %d", ErrEarlierEra, at.Era(), known)
+		return fmt.Errorf("%w: %d after %d", ErrOtherEra, at.Era(), known)
 	}
 	w.storeEra = at.Era()
 	return nil
--- a/internal/soak/fake_test.go
+++ b/internal/soak/fake_test.go
@@ -204,7 +204,7 @@
 		return ""
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var page wirePage
+	var page struct{ Items []storeValue }
 	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
 		return ""
 	}
@@ -227,11 +227,14 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var item wireItem
+	var item storeValue
 	err = json.NewDecoder(resp.Body).Decode(&item)
 	return err == nil && bytes.Contains(item.Value, []byte(hostExtra))
 }
 
+// storeValue is the part of an item of the store that a fake reads.
+type storeValue struct{ Value []byte }
+
 // blank is a response that nobody reads.
 type blank struct{ header http.Header }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -82,7 +82,9 @@
 	port         int
 	prefix       string
 	store        *store
-	instances    []*instance
+	// storeGuard is held while the store is restored.
+	storeGuard guard
+	instances  []*instance
 	// links holds the proxies by the instances that they connect, if there are any.
 	links      map[[2]int][]*link
 	firstStart atomic.Bool
@@ -94,7 +96,7 @@
 
 // newFleet prepares a deployment in the folder dir.
 func newFleet(program, dir string, size int, proxied bool, j *journal) (*fleet, error) {
-	f := &fleet{program: program, dir: dir, journal: j, links: make(map[[2]int][]*link), versionGuard: newGuard()}
+	f := &fleet{program: program, dir: dir, journal: j, links: make(map[[2]int][]*link), versionGuard: newGuard(), storeGuard: newGuard()}
 	f.firstStart.Store(true)
 	l, err := f.listenForStore()
 	if err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,7 @@
 	stepDelay   = "delay"   // the proxy delays bytes from and to an instance
 	stepReset   = "reset"   // the proxy resets the connections of an instance
 	stepSilence = "silence" // the proxy forwards nothing in one direction
+	stepRestore = "restore" // the store is away and comes back from an older copy
 )
 
 var lanes = []lane{
@@ -47,6 +48,7 @@
 	{"logs", []string{stepAway, stepFull}, 4 * time.Second, 3},
 	{"failures", []string{stepKill, stepFreeze, stepFreeze, stepCrash}, 3 * time.Second, 5},
 	{"network", []string{stepDelay, stepReset, stepSilence}, 2 * time.Second, 4},
+	{"store", []string{stepRestore}, 5 * time.Second, 3},
 }
 
 // laneNetwork is the lane that needs a proxy between the daemons.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -139,6 +139,9 @@
 			time.Sleep(s.gap)
 		}
 		return
+	case stepRestore:
+		f.must(s, f.restore(s))
+		return
 	}
 	var each sync.WaitGroup
 	for _, n := range s.instances {
@@ -286,7 +289,7 @@
 	if s.kind == stepCrash {
 		time.Sleep(s.length)
 	}
-	f.store.remove("servers/" + id)
+	f.store.Remove("servers/" + id)
 	return f.startBackend(i)
 }
 
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -5,56 +5,21 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
+	"sync"
 	"time"
 
-	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/internal/standin"
 )
 
-// wireItem is an item of the store or an event of a watch.
-type wireItem struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
-	Rev     uint64 `json:"rev"`
-	Created uint64 `json:"created,omitempty"`
-	Removed bool   `json:"removed,omitempty"`
-}
-
-// wirePage is a response of the store to a read of a range, wireEvents one to a watch.
-type wirePage struct {
-	Items    []wireItem `json:"items"`
-	More     bool       `json:"has-more"`
-	Revision uint64     `json:"store-revision"`
-}
-
-type wireEvents struct {
-	Events   []wireItem `json:"events"`
-	Revision uint64     `json:"store-revision"`
-}
-
-// store is a stand-in for the platform's metadata store. It keeps its whole history.
+// store is a stand-in for the platform's metadata store.
 type store struct {
-	mu       *lock.Mutex
-	revision uint64
-	items    map[string]wireItem
-	events   []wireItem
-	// changed is closed and replaced at each change.
-	changed chan struct{}
-	server  *http.Server
+	*standin.Store
+	server *http.Server
 }
 
-// firstRevision is the store's revision at its start. Zero would mean that it holds nothing.
-const firstRevision = 100
-
 func newStore(l net.Listener) *store {
-	s := &store{mu: lock.New(lock.Store), revision: firstRevision, items: make(map[string]wireItem), changed: make(chan struct{})}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux}
+	s := &store{Store: standin.NewStore()}
+	s.server = &http.Server{Handler: s.Store}
 	go func() { _ = s.server.Serve(l) }()
 	return s
 }
@@ -65,92 +30,41 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", key, err)
 	}
-	s.write(wireItem{Key: key, Value: text})
+	s.Put(key, text)
 	return nil
 }
 
-func (s *store) remove(key string) { s.write(wireItem{Key: key, Removed: true}) }
-
-func (s *store) write(i wireItem) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	i.Rev = s.revision
-	if i.Removed {
-		delete(s.items, i.Key)
-	} else {
-		i.Created = i.Rev
-		if old, ok := s.items[i.Key]; ok {
-			i.Created = old.Created
-		}
-		s.items[i.Key] = i
-	}
-	s.events = append(s.events, i)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	i, ok := s.items[r.URL.Query().Get("key")]
-	s.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(w, i)
-}
+const (
+	// minCopyAge is the least age of the copy from which the store is restored. With what is
+	// drawn, it stays below settle, so that each copy has all instances.
+	minCopyAge = time.Second
+	// rewriteTime is the time within which all that was lost is written again.
+	rewriteTime = 1800 * time.Millisecond
+)
 
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	page := wirePage{Items: []wireItem{}, Revision: s.revision}
-	for key, i := range s.items {
-		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) && key > r.URL.Query().Get("after") {
-			page.Items = append(page.Items, i)
+// restore writes versions, makes the store unavailable for a moment and restores it from an older
+// copy, which lacks them. The last write of each key is repeated some time later, and then comes
+// another version, at a revision that the store had assigned before.
+func (f *fleet) restore(s step) error {
+	f.storeGuard.acquire()
+	defer f.storeGuard.release()
+	for range s.count {
+		if err := f.configure(); err != nil {
+			return err
 		}
+		time.Sleep(s.gap / 4)
 	}
-	s.mu.Unlock()
-	slices.SortFunc(page.Items, func(a, b wireItem) int { return strings.Compare(a.Key, b.Key) })
-	reply(w, page)
-}
-
-func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
-	q := r.URL.Query()
-	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, err2 := strconv.Atoi(q.Get("wait-ms"))
-	if err != nil || err2 != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+	f.store.Suspend()
+	time.Sleep(s.gap)
+	lost := f.store.Restore(minCopyAge + s.length)
+	f.journal.note(fmt.Sprintf("%8s store restored, %d keys lost", "", len(lost)))
+	var writers sync.WaitGroup
+	for n, l := range lost {
+		writers.Go(func() {
+			time.Sleep(rewriteTime * time.Duration(n+1) / time.Duration(len(lost)))
+			f.store.WriteAgain(l)
+		})
 	}
-	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timeout.Stop()
-	for expired := false; ; {
-		found := wireEvents{Events: []wireItem{}}
-		s.mu.Lock()
-		for _, e := range s.events {
-			if e.Rev > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
-				found.Events = append(found.Events, e)
-			}
-		}
-		changed := s.changed
-		found.Revision = s.revision
-		s.mu.Unlock()
-		if len(found.Events) > 0 || expired {
-			reply(w, found)
-			return
-		}
-		select {
-		case <-changed:
-		case <-timeout.C:
-			expired = true
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
-func reply(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	// The daemon has left if this fails.
-	_ = json.NewEncoder(w).Encode(body)
+	writers.Wait()
+	return f.configure()
 }
