Pass on the configuration that a restored store has lost

A daemon that restarted in between went back to an older version. Daemons now say in their messages which version in force the store has lost, and others ask for it. Versions order configurations over all eras, so that the higher one can be applied at any time.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
@@ -110,3 +111,89 @@
 		g.syncOnce(ip, ok && h.Centre() != g.centre)
 	})
 }
+
+// lostConfig is the configuration in force if the store has only an older one in this era.
+type lostConfig struct {
+	item    replica.Item
+	version uint64
+}
+
+// trackConfig records the item of the configuration in force after a change has been applied, and
+// the era in which the store had it. The caller holds applyMu.
+func (s *fleetState) trackConfig(i replica.Item, c Change, era uint64) {
+	if published, ok := c.(configChange); ok && s.config.Load().Version() == published.config.Version() {
+		s.configItem, s.configEra = i, era
+	}
+}
+
+// reviewConfig determines whether the store has lost the configuration in force. The caller holds
+// applyMu.
+func (s *fleetState) reviewConfig() {
+	cfg, era := s.config.Load(), s.replica.Position().Era()
+	if cfg == nil {
+		return
+	}
+	if i, ok := s.replica.Get(s.configItem.Key()); ok && bytes.Equal(i.Value(), s.configItem.Value()) {
+		s.configEra = era
+	}
+	if s.configEra == era {
+		s.lostConfig.Store(nil)
+		return
+	}
+	s.lostConfig.Store(&lostConfig{item: s.configItem, version: cfg.Version()})
+}
+
+// version returns the configuration version in force, or 0 if there is none.
+func (s *fleetState) version() uint64 {
+	if cfg := s.config.Load(); cfg != nil {
+		return cfg.Version()
+	}
+	return 0
+}
+
+// receiveLostConfig applies a configuration that the store has lost, or asks the sender for it if
+// it only says that it has one. Versions increase over all eras, so that the higher one holds.
+func (g *gossiper) receiveLostConfig(now time.Time, m *schema.Exchange) {
+	if m.HasConfig() {
+		i := m.GetConfig()
+		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), m.GetFrom()) {
+			g.recheckPeers(m.GetFrom())
+		}
+		return
+	}
+	if m.GetLostVersion() <= g.version() || !g.fetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	g.events.spawn(func() {
+		defer g.fetchingConfig.Store(false)
+		request := g.newMessage()
+		request.SetConfigAbove(g.version())
+		answer, err := g.peers.exchange(g.ctx, m.GetFrom(), pushTimeout, request)
+		if err != nil {
+			g.events.stateChange("lost configuration not received", "from", m.GetFrom(), "version", m.GetLostVersion(), "error", err.Error())
+			return
+		}
+		g.receive(time.Now(), answer)
+	})
+}
+
+// applyLostConfig applies a configuration that the store has lost, and reports whether it is newer
+// than the one in force. It is not merged into the replica, as the store does not have it.
+func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, from string) bool {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	c, err := s.decode(i)
+	published, ok := c.(configChange)
+	if err != nil || !ok || published.config.Version() <= s.version() {
+		return false
+	}
+	s.events.stateChange("configuration that the store has lost received", "version", published.config.Version(), "from", from)
+	published.apply(now, s)
+	s.trackConfig(i, c, noEra)
+	s.reviewConfig()
+	s.onChange(now)
+	return true
+}
+
+// noEra is the era of a configuration that this daemon has not seen in the store.
+const noEra = ^uint64(0)
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -21,6 +21,9 @@
 	m.SetAway(g.watcher.ineligible())
 	m.SetLeaving(g.watcher.leaving.Load())
 	m.SetReading(g.watcher.reading.Load())
+	if lost := g.lostConfig.Load(); lost != nil {
+		m.SetLostVersion(lost.version)
+	}
 	return m
 }
 
@@ -128,6 +131,7 @@
 	case own.Era() == theirs.Era() && !own.Before(theirs) && theirs.Revision() > 0:
 		g.confirmCurrent(now.Add(-time.Duration(m.GetAge()) * time.Microsecond))
 	}
+	g.receiveLostConfig(now, m)
 	for _, c := range m.GetCrashes() {
 		g.quarantine.RecordCrash(now, backend.NewRequestKey(c.GetCustomer(), c.GetFingerprint()))
 		g.events.stateChange("crash report received", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -30,6 +30,12 @@
 	// heldChanges holds the instances that a new era shows as ready although they were
 	// draining, by key, guarded by applyMu.
 	heldChanges map[string]heldChange
+	// configItem is the item of the configuration in force, and configEra the latest era in
+	// which the store had it, guarded by applyMu. lostConfig is the configuration in force if
+	// the store has only an older one in this era, or nil.
+	configItem replica.Item
+	configEra  uint64
+	lostConfig atomic.Pointer[lostConfig]
 	// rejectedItems counts the items that could not be decoded.
 	rejectedItems atomic.Int64
 	// onChange is called with applyMu held after changes were applied.
@@ -74,8 +80,10 @@
 		}
 		if c != nil {
 			c.apply(now, s)
+			s.trackConfig(i, c, s.replica.Position().Era())
 		}
 	}
+	s.reviewConfig()
 	if len(changed) > 0 {
 		s.onChange(now)
 	}
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -67,6 +67,8 @@
 	syncPending atomic.Bool
 	// catchingUp is set while a daemon of a later era is asked for all items.
 	catchingUp atomic.Bool
+	// fetchingConfig is set while a daemon is asked for a configuration that the store has lost.
+	fetchingConfig atomic.Bool
 	// earlierEraMessages counts the messages with changes of an earlier era.
 	earlierEraMessages atomic.Int64
 	// joined is set once the daemons of the data centre were greeted.
@@ -145,6 +147,9 @@
 		daemons, _ := g.watcher.roster.introductions(0)
 		answer.SetDaemons(daemons)
 	}
+	if lost := g.lostConfig.Load(); lost != nil && m.HasConfigAbove() && m.GetConfigAbove() < lost.version {
+		answer.SetConfig(messageItems([]replica.Item{lost.item})[0])
+	}
 	answer.SetShares(g.limiter.renewLeases(now, m))
 	if m.HasBorrow() {
 		answer.SetLent(g.limiter.handleTokenRequest(now, m.GetBorrow()))
