--- /dev/null
+++ b/internal/sidecar/era.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/replica"
+)
+
+// drainHold is how long an instance that was draining stays so if the list of a new era shows it
+// as ready. Its backend server writes its entry again within this time; until then the older
+// entry would attract requests to a server that is about to stop.
+const drainHold = 2 * time.Second
+
+// heldChange is an instance of a new era's list that is not applied before a time.
+type heldChange struct {
+	item  replica.Item
+	until time.Time
+}
+
+// replaceAll merges a list of all items as of a position and applies those that are new. from
+// says where a list of a new era comes from.
+func (s *fleetState) replaceAll(now time.Time, items []replica.Item, at replica.Position, from string) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	before := s.replica.Position()
+	changed, newEra := s.replica.ReplaceAll(now, items, at)
+	if !newEra {
+		s.applyItems(now, changed)
+		return
+	}
+	first := before == replica.Position{}
+	if !first {
+		changed = s.holdDraining(now, changed)
+		s.events.stateChange("store restored, new era adopted", "from", before.String(), "to", at.String(), "source", from,
+			"items", len(items), "changed", len(changed), "missing", s.replica.Leftovers(), "held", len(s.heldChanges))
+		time.AfterFunc(drainHold, func() { s.events.protect(func() { s.expireEra(time.Now()) }) })
+	}
+	s.applyItems(now, changed)
+	if len(changed) == 0 {
+		// The other daemons have to learn of the era.
+		s.onChange(now)
+	}
+}
+
+// holdDraining removes from the changes of a new era those that would make a draining instance
+// usable again, and holds them. The caller holds applyMu.
+func (s *fleetState) holdDraining(now time.Time, changed []replica.Item) (rest []replica.Item) {
+	for _, i := range changed {
+		c, err := s.decode(i)
+		if published, ok := c.(instanceChange); ok && err == nil {
+			old, _, known := s.fleet.Get(now, published.instance.ID())
+			if known && old.Draining() && !published.instance.Draining() {
+				s.heldChanges[i.Key()] = heldChange{item: i, until: now.Add(drainHold)}
+				s.events.stateChange("instance stays draining in new era", "instance", old.ID())
+				continue
+			}
+		}
+		rest = append(rest, i)
+	}
+	return rest
+}
+
+// expireEra ends the time in which items of an earlier era stay in force although the store
+// lacks them, and applies what was held for this time and has not been written since.
+func (s *fleetState) expireEra(now time.Time) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	changed := s.replica.Expire(now)
+	for _, i := range changed {
+		s.events.stateChange("item not written again in new era", "key", i.Key())
+	}
+	for key, h := range s.heldChanges {
+		if now.Before(h.until) {
+			continue
+		}
+		delete(s.heldChanges, key)
+		if current, ok := s.replica.Get(key); ok && current.Revision() == h.item.Revision() {
+			changed = append(changed, current)
+		}
+	}
+	s.applyItems(now, changed)
+}
+
+// messagePosition returns the position up to which the sender of a message has all changes.
+// Without an era, which daemons of earlier versions do not state, it is one of era 0.
+func messagePosition(m *schema.Exchange) replica.Position {
+	return replica.NewPosition(m.GetEra(), m.GetRevision())
+}
+
+// reachedPosition returns the position up to which the sender of a message need not be told of
+// changes. A daemon of an earlier version has only a revision, which is compared as that of the
+// era of this daemon: if it were taken for era 0, it would be sent all items each time.
+func (g *gossiper) reachedPosition(m *schema.Exchange) replica.Position {
+	if !m.HasEra() {
+		return replica.NewPosition(g.replica.Position().Era(), m.GetRevision())
+	}
+	return messagePosition(m)
+}
+
+// catchUp asks a daemon that is in a later era for all items, unless this daemon is asking
+// another one at the moment.
+func (g *gossiper) catchUp(ip string) {
+	h, ok := g.fleet.Host(ip)
+	if !g.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	g.events.spawn(func() {
+		defer g.catchingUp.Store(false)
+		g.syncOnce(ip, ok && h.Centre() != g.centre)
+	})
+}
+
+// lostConfig is the configuration in force if the store has only an older one in this era.
+type lostConfig struct {
+	item    replica.Item
+	version uint64
+}
+
+// trackConfig records the item of the configuration in force after a change has been applied, and
+// the era in which the store had it. The caller holds applyMu.
+func (s *fleetState) trackConfig(i replica.Item, c Change, era uint64) {
+	if published, ok := c.(configChange); ok && s.config.Load().Version() == published.config.Version() {
+		s.configItem, s.configEra = i, era
+	}
+}
+
+// reviewConfig determines whether the store has lost the configuration in force. The caller holds
+// applyMu.
+func (s *fleetState) reviewConfig() {
+	cfg, era := s.config.Load(), s.replica.Position().Era()
+	if cfg == nil {
+		return
+	}
+	if i, ok := s.replica.Get(s.configItem.Key()); ok && bytes.Equal(i.Value(), s.configItem.Value()) {
+		s.configEra = era
+	}
+	if s.configEra == era {
+		s.lostConfig.Store(nil)
+		return
+	}
+	s.lostConfig.Store(&lostConfig{item: s.configItem, version: cfg.Version()})
+}
+
+// version returns the configuration version in force, or 0 if there is none.
+func (s *fleetState) version() uint64 {
+	if cfg := s.config.Load(); cfg != nil {
+		return cfg.Version()
+	}
+	return 0
+}
+
+// receiveLostConfig applies a configuration that the store has lost, or asks the sender for it if
+// it only says that it has one. Versions increase over all eras, so that the higher one holds.
+func (g *gossiper) receiveLostConfig(now time.Time, m *schema.Exchange) {
+	if m.HasConfig() {
+		i := m.GetConfig()
+		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), m.GetFrom()) {
+			g.recheckPeers(m.GetFrom())
+		}
+		return
+	}
+	if m.GetLostVersion() <= g.version() || !g.fetchingConfig.CompareAndSwap(false, true) {
+		return
+	}
+	g.events.spawn(func() {
+		defer g.fetchingConfig.Store(false)
+		request := g.newMessage()
+		request.SetConfigAbove(g.version())
+		answer, err := g.peers.exchange(g.ctx, m.GetFrom(), pushTimeout, request)
+		if err != nil {
+			g.events.stateChange("lost configuration not received", "from", m.GetFrom(), "version", m.GetLostVersion(), "error", err.Error())
+			return
+		}
+		g.receive(time.Now(), answer)
+	})
+}
+
+// applyLostConfig applies a configuration that the store has lost, and reports whether it is newer
+// than the one in force. It is not merged into the replica, as the store does not have it.
+func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, from string) bool {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	c, err := s.decode(i)
+	published, ok := c.(configChange)
+	if err != nil || !ok || published.config.Version() <= s.version() {
+		return false
+	}
+	s.events.stateChange("configuration that the store has lost received", "version", published.config.Version(), "from", from)
+	published.apply(now, s)
+	s.trackConfig(i, c, noEra)
+	s.reviewConfig()
+	s.onChange(now)
+	return true
+}
+
+// noEra is the era of a configuration that this daemon has not seen in the store.
+const noEra = ^uint64(0)
