Answer HEAD requests through sidecar with the length that GET has

Callers of HEAD got Content-Length: 0 where GET says 7, from a local and from a remote backend server. The length is a field of the connection for a response with a body, so it was dropped and set anew from the empty body.

A response to HEAD now keeps the declared length, or none where GET has none. The script sidecar/head fails before with length 0.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -303,5 +303,7 @@
 		return nil, false, fmt.Errorf("%w: read body: %w", ErrResponseLost, err)
 	}
 	c.keepAlive = parseKeepAlive(head.Header)
-	return &Response{status: head.StatusCode, header: head.Header, body: body, lease: lease}, !head.Close, nil
+	out := &Response{status: head.StatusCode, header: head.Header, body: body, lease: lease, length: head.ContentLength}
+	out.toHead = head.Request.Method == http.MethodHead
+	return out, !head.Close, nil
 }
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -218,6 +218,10 @@
 	header http.Header
 	body   []byte
 	lease  *Lease
+	// toHead states that the request had the method HEAD, and length is the size that the body
+	// would have with GET, -1 if unknown.
+	toHead bool
+	length int64
 }
 
 // Release returns the memory of the body to the client's budget. The body must not be used
@@ -234,6 +238,20 @@
 // Header returns the header fields. The caller may modify them.
 func (r *Response) Header() http.Header { return r.header }
 
+// DropConnectionFields deletes the header fields that concern only the connection, as the function
+// of that name does. The length in a response to HEAD concerns the body that GET would have. It is
+// kept, or a nil entry says that it is unknown.
+func (r *Response) DropConnectionFields() {
+	DropConnectionFields(r.header)
+	if !r.toHead {
+		return
+	}
+	r.header["Content-Length"] = nil
+	if r.length >= 0 {
+		r.header["Content-Length"] = []string{strconv.FormatInt(r.length, 10)}
+	}
+}
+
 // Body returns the body. The caller may modify it.
 func (r *Response) Body() []byte { return r.body }
 
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -310,7 +310,7 @@
 	}
 	a.recordReachable(now)
 	meta := a.protocol.ResponseMetadata(resp.Status(), resp.Header())
-	http1.DropConnectionFields(resp.Header())
+	resp.DropConnectionFields()
 	if meta.notRun {
 		a.finish(now, entry, backend.Shed)
 		r := notRun(caller.ReasonOverload)
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -239,6 +239,9 @@
 		}
 	case "lists":
 		b.listFields(w)
+	case "unsized":
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "from "+b.id)
 	case "headcut":
 		b.cutHead(w, r)
 	case "status", "skipped", "version", "reason", "name", "framing", "interim", "trailer":
--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -105,7 +105,8 @@
 		// A nil entry keeps net/http from detecting a content type.
 		h["Content-Type"] = nil
 	}
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	// A response to HEAD has an entry for the length of the body that it does not have.
+	if _, ok := h["Content-Length"]; !ok && status != http.StatusNoContent && status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	w.WriteHeader(status)
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -205,7 +205,7 @@
 		resp.Release()
 		return &result{outcome: caller.OutcomeUnknown, reason: caller.ReasonResponseLost, err: err}
 	}
-	http1.DropConnectionFields(resp.Header())
+	resp.DropConnectionFields()
 	r := decodeReport(report)
 	if !r.hasResponse() {
 		resp.Release()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -357,7 +357,7 @@
 		f.listed = args[1]
 	case "grace": // grace 6s: the grace time of the daemons that are started from now on
 		f.grace = f.duration(args[1])
-	case "get", "post", "upload", "chunked":
+	case "get", "head", "post", "upload", "chunked":
 		return f.request(args) + "\n"
 	case "again": // again get|post ...: sends a request with the id of the last one
 		f.requests--
@@ -513,6 +513,8 @@
 	f.requests++
 	method, body := http.MethodGet, io.Reader(nil)
 	switch args[0] {
+	case "head":
+		method = http.MethodHead
 	case "post":
 		method, body = http.MethodPost, strings.NewReader(strings.Repeat("x", 50_000))
 	case "upload":
@@ -558,6 +560,9 @@
 	if err != nil {
 		formatted += " (cut)"
 	}
+	if r.Method == http.MethodHead {
+		formatted += fmt.Sprintf("length %d", resp.ContentLength)
+	}
 	if resp.Header.Get("Retry-After") != "" {
 		formatted += ", with Retry-After"
 	}
