Test messages between daemons of different eras

The spread scripts send single messages of other eras to a daemon: changes of an earlier or later era are not applied, an earlier era confirms nothing, a daemon that states no era gets changes by revision, and one that hears of a later era asks for everything. An instance that is held as draining stays so if the store is restored again meanwhile.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -32,6 +32,7 @@
 	}
 	first := before == replica.Position{}
 	if !first {
+		s.extendHolds(now)
 		changed = s.holdDraining(now, changed)
 		s.events.stateChange("store restored, new era adopted", "from", before.String(), "to", at.String(), "source", from,
 			"items", len(items), "changed", len(changed), "missing", s.replica.Leftovers(), "held", len(s.heldChanges))
@@ -44,6 +45,18 @@
 	}
 }
 
+// extendHolds extends what is held from the era before, since writers need their time again. The
+// caller holds applyMu.
+func (s *fleetState) extendHolds(now time.Time) {
+	for key := range s.heldChanges {
+		if i, ok := s.replica.Get(key); ok {
+			s.heldChanges[key] = heldChange{item: i, until: now.Add(drainHold)}
+		} else {
+			delete(s.heldChanges, key)
+		}
+	}
+}
+
 // holdDraining removes from the changes of a new era those that would make a draining instance
 // usable again, and holds them. The caller holds applyMu.
 func (s *fleetState) holdDraining(now time.Time, changed []replica.Item) (rest []replica.Item) {
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
@@ -86,6 +88,43 @@
 	return decodeControl(data)
 }
 
+// sendMessage lets a daemon handle a message that seems to come from another one, and describes
+// the answer and how long ago the daemon's replica was confirmed. The position is ERA/REVISION, or
+// only REVISION for a message of a daemon that knows no eras.
+func (n *testNet) sendMessage(t *testing.T, to, from *testNode, position string, args []string) string {
+	m := &schema.Exchange{}
+	m.SetFrom(from.ip)
+	m.SetAge(0)
+	revision := position
+	if era, rest, ok := strings.Cut(position, "/"); ok {
+		m.SetEra(uint64(atoi(t, era)))
+		revision = rest
+	}
+	m.SetRevision(uint64(atoi(t, revision)))
+	for _, arg := range args {
+		after, isAfter := strings.CutPrefix(arg, "after=")
+		switch {
+		case arg == "want":
+			m.SetWant(true)
+		case arg == "whole":
+			m.SetWhole(true)
+			m.SetAfter(0)
+		case isAfter:
+			m.SetAfter(uint64(atoi(t, after)))
+		default:
+			key, rest, _ := strings.Cut(arg, "=")
+			value, rev, _ := strings.Cut(rest, "@")
+			m.SetItems(append(m.GetItems(), messageItems([]replica.Item{replica.NewItem(key, []byte(value), uint64(atoi(t, rev)))})...))
+		}
+	}
+	answer, transfer := to.gossiper.handle(time.Now(), m)
+	if transfer != nil {
+		to.gossiper.transfers.End(transfer)
+	}
+	return fmt.Sprintf("at %s, %d items, whole %t, confirmed %t, ignored %d", messagePosition(answer), len(answer.GetItems()), answer.GetWhole(),
+		to.gossiper.age(time.Now()) == 0, to.gossiper.earlierEraMessages.Load())
+}
+
 // transmit waits until the link of a daemon has sent a message, which waits behind those that
 // were sent before. The bytes of a message whose sender has given up are sent all the same.
 func (n *testNet) transmit(ctx context.Context, from *testNode, size int) {
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -211,6 +211,8 @@
 			break
 		}
 		n.store.setUnavailable(step[1] == "away")
+	case "message": // message TO FROM ERA/REVISION [after=N|whole|want] KEY=VALUE@REVISION...: prints the answer
+		return n.sendMessage(t, n.nodes[step[1]], n.nodes[step[2]], step[3], step[4:])
 	case "restore": // restore D: the store comes back from a copy that is D old
 		n.store.setUnavailable(false)
 		ago, err := time.ParseDuration(step[1])
