End the grace time of a first era as well

A daemon that had merged items before it was complete up to any revision, and then adopted an era, would have kept those that the era lacks for ever, as only later eras started the timer.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -30,12 +30,13 @@
 		s.applyItems(now, changed)
 		return
 	}
-	first := before == replica.Position{}
-	if !first {
+	if before != (replica.Position{}) {
 		s.extendHolds(now)
 		changed = s.holdDraining(now, changed)
 		s.events.stateChange("store restored, new era adopted", "from", before.String(), "to", at.String(), "source", from,
 			"items", len(items), "changed", len(changed), "missing", s.replica.Leftovers(), "held", len(s.heldChanges))
+	}
+	if s.replica.Leftovers() > 0 || len(s.heldChanges) > 0 {
 		time.AfterFunc(drainHold, func() { s.events.protect(func() { s.expireEra(time.Now()) }) })
 	}
 	s.applyItems(now, changed)
