Keep the budget for resends to calls and requests with much time spent

When every server of a service sheds half of all requests, the budget is spent at once, mostly on callers' requests, whose callers repeat them at no cost to it; a call that is not resent loses the request that made it. Resends of calls, and of requests on which as much time has been spent as they still need, may use the whole share. Others use half of it where calls are made to the service, and all of it elsewhere.

Such calls are sent within 0.9 of the daemon's part of the limit and refused beyond, since losing a run is better than exceeding the fleet's limit.

--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -26,6 +26,7 @@
 	shedRatio float64
 	queue     *backend.Queue[*backend.SlotWindow]
 	balancer  *upstream.Balancer[upstream.LatencyCost]
+	resends   *caller.ResendBudget
 	// waiting holds the jobs that wait in the queue, in their order of arrival.
 	waiting []*job
 	// busyUntil is when the daemon will have processed the messages received so far.
@@ -62,6 +63,7 @@
 	daemon  *daemon
 	reply   func(upstream.Attempt)
 	expired bool
+	started time.Time
 }
 
 // admit submits a request to the queue of the backend server. If redirectable is set,
@@ -152,6 +154,7 @@
 // distribution of mean 1.
 func (j *job) run() {
 	d, sim := j.daemon, j.daemon.sim
+	j.started = sim.now
 	if sim.rng.Float64() < d.shedRatio {
 		d.queue.Done(sim.now, j.entry, backend.Shed)
 		j.reply(upstream.NewAttempt(caller.OutcomeNotRun, caller.ReasonOverload, true, false, 0))
@@ -184,7 +187,7 @@
 		for range call.GetTimes() {
 			pending++
 			r := &request{
-				class: class, daemon: d, priority: j.request.priority.Call(int(class.GetPriority())), onDone: finish,
+				class: class, daemon: d, resent: j.request.resent, spent: sim.now.Sub(j.started), priority: j.request.priority.Call(int(class.GetPriority())), onDone: finish,
 				objective: sim.now.Add(class.GetObjective().AsDuration()),
 				deadline:  earlier(sim.now.Add(class.GetDeadline().AsDuration()), j.request.deadline),
 			}
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -11,9 +11,14 @@
 
 // request is one submission by a caller, or a nested call by a running request.
 type request struct {
-	class               *schema.EmulatedClass
-	daemon              *daemon
-	priority            caller.Priority
+	class    *schema.EmulatedClass
+	daemon   *daemon
+	priority caller.Priority
+	// spent is the time already spent on the request that made this one as a call, and resent
+	// states that this request, or that one, has reached another backend server before.
+	spent               time.Duration
+	resent              bool
+	begun               time.Time
 	objective, deadline time.Time
 	retry               *upstream.RetryState
 	lastAttempt         upstream.Attempt
@@ -40,7 +45,40 @@
 func (r *request) start() {
 	r.retry = upstream.NewRetryState(maxAttempts, r.class.GetOnce(), r.priority.Nested(), true)
 	r.daemon.sim.at(r.deadline, func() { r.finish(result{}) })
-	r.daemon.handle(r.tryNext)
+	r.daemon.handle(r.admit)
+}
+
+// The fleet's limit for resends in resendWindow: resendRatio times the requests to a service, plus
+// resendSlack.
+const (
+	resendRatio  = 0.2
+	resendSlack  = 60
+	resendWindow = 10 * time.Second
+)
+
+// admit records the request in the daemon's budget for resends and sends it.
+func (r *request) admit() {
+	d := r.daemon
+	r.begun = d.sim.now
+	if !r.resent {
+		d.resends.RecordRequest(d.sim.now, r.class.GetService(), r.priority.Nested())
+	} else if !d.resends.AllowCall(d.sim.now, r.class.GetService(), d.sim.share()) {
+		r.finish(result{refused: true, retryAfter: minRetryAfter})
+		return
+	}
+	r.tryNext()
+}
+
+// mayResend reports whether a request that has reached a backend server may be sent to another one.
+func (r *request) mayResend() bool {
+	d := r.daemon
+	need := caller.NewNeed(r.priority, r.objective, r.deadline, d.balancer.MeanRunTime(r.class.GetName()))
+	urgent := need.WithSpent(r.spent + d.sim.now.Sub(r.begun)).Urgent()
+	if !d.resends.AllowResend(d.sim.now, r.class.GetService(), urgent, d.sim.share()) {
+		return false
+	}
+	r.resent = true
+	return true
 }
 
 func (r *request) upstreamRequest() upstream.Request {
@@ -54,14 +92,14 @@
 		return
 	}
 	sim := r.daemon.sim
-	if more, _ := r.retry.NextAttempt(sim.now, r.deadline); more {
+	if more, resend := r.retry.NextAttempt(sim.now, r.deadline); more && (!resend || r.mayResend()) {
 		instances := sim.instances[r.class.GetService()]
 		if placement, ok := r.daemon.balancer.Pick(sim.now, sim.rng, r.upstreamRequest(), instances, r.retry.Tried()); ok {
 			r.attempt(placement.Instance(), r.retry.FailFast(len(instances) > len(r.retry.Tried())+1))
 			return
 		}
 	}
-	if id, _ := r.retry.Fallback(sim.now, r.deadline); id != "" {
+	if id, resend := r.retry.Fallback(sim.now, r.deadline); id != "" && (!resend || r.mayResend()) {
 		i := sim.byID[id].instance
 		r.daemon.balancer.Assign(sim.now, r.upstreamRequest(), i)
 		r.attemptLast(i)
--- a/internal/emulate/simulation.go
+++ b/internal/emulate/simulation.go
@@ -75,6 +75,7 @@
 				slowdown: 1,
 				queue:    backend.NewQueue(backend.NewSlotWindow(int(s.GetSlots())), backend.NewRateLimiter(coldRateFactor, coldSlack)),
 				balancer: upstream.NewBalancer(upstream.LatencyCost{}, host, centre),
+				resends:  caller.NewResendBudget(resendRatio, resendSlack, resendWindow),
 			}
 			sim.daemons = append(sim.daemons, d)
 			sim.byID[id] = d
@@ -197,6 +198,9 @@
 	}
 }
 
+// share returns a daemon's share of the fleet's slack for resends.
+func (sim *Simulation) share() float64 { return 1 / float64(len(sim.daemons)) }
+
 // networkDelay returns the one-way delay of a message between two daemons.
 func (sim *Simulation) networkDelay(from, to *daemon) time.Duration {
 	switch {
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -31,6 +31,8 @@
 	parent string
 	// spent is the time already spent on that request.
 	spent time.Duration
+	// begun is when the request was first to be sent to an instance.
+	begun time.Time
 	// resent indicates that the request, or the one that made it, has reached another backend
 	// server before.
 	resent bool
@@ -45,6 +47,11 @@
 	return upstream.NewRequest(r.route, max(int(r.body.length), len(r.body.prefix)), time.Until(r.objective))
 }
 
+// need returns what the request needs of a resource that it occupies for work.
+func (r *request) need(work time.Duration) caller.Need {
+	return caller.NewNeed(r.priority, r.objective, r.deadline, work).WithSpent(r.spent)
+}
+
 // startBytes is the number of bytes of a larger body that are read before the request is sent
 // to the backend server. One is enough to know that the sender is committed.
 const startBytes = 4 << 10
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -62,8 +62,15 @@
 // send sends a request, with at most the given number of attempts, and returns the
 // response for its caller.
 func (s *sender) send(ctx context.Context, req *request, attempts int) *response {
-	s.resendBudget.RecordRequest(time.Now(), req.service)
-	nested, _, _ := req.priority.Components()
+	begin, nested := time.Now(), req.priority.Nested()
+	switch {
+	case !req.resent:
+		s.resendBudget.RecordRequest(begin, req.service, nested)
+	case !s.resendBudget.AllowCall(begin, req.service, s.fleetShare()):
+		s.events.request(logs.Refusal, "call of a resent request not sent", req.id, "service", req.service, "parent", req.parent)
+		return refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+	}
+	req.begun = begin
 	state := &sendState{RetryState: upstream.NewRetryState(attempts, req.atMostOnce, nested, req.body.replayable())}
 	for s.mayAttempt(ctx, req, state) {
 		placement, more, ok := s.pickInstance(ctx, req, state.Tried())
@@ -88,7 +95,10 @@
 	if state.failedResponse != nil && s.balancer.FailsEverywhere(req.upstreamRequest()) {
 		return false
 	}
-	if !s.resendBudget.AllowResend(time.Now(), req.service, s.fleetShare()) {
+	now := time.Now()
+	urgent := req.need(s.balancer.MeanRunTime(req.route)).WithSpent(req.spent + now.Sub(req.begun)).Urgent()
+	if !s.resendBudget.AllowResend(now, req.service, urgent, s.fleetShare()) {
+		s.events.request(logs.Refusal, "resend not allowed", req.id, "service", req.service, "urgent", urgent)
 		return false
 	}
 	req.resent = true
--- a/pkg/caller/need.go
+++ b/pkg/caller/need.go
@@ -61,6 +61,7 @@
 	priority            Priority
 	objective, deadline time.Time
 	work                time.Duration
+	spent               time.Duration
 }
 
 // NewNeed returns the need of a request that occupies the resource for work. The objective is the
@@ -71,6 +72,21 @@
 	return Need{priority: p, objective: objective, deadline: deadline, work: work}
 }
 
+// WithSpent returns a copy of the need of a request on which time has been spent already, or on
+// the one that made it as a call.
+func (n Need) WithSpent(spent time.Duration) Need {
+	n.spent = spent
+	return n
+}
+
+// Spent returns the time already spent on the request.
+func (n Need) Spent() time.Duration { return n.spent }
+
+// Urgent reports whether the request is to be finished rather than repeated by its caller: it is a
+// call, whose failure loses the request that made it, or as much time has been spent on it as it
+// still needs.
+func (n Need) Urgent() bool { return n.priority.Nested() || n.spent > 0 && n.spent >= n.work }
+
 // Priority returns the priority of the request.
 func (n Need) Priority() Priority { return n.priority }
 
