Refuse a part of the requests whose calls find no capacity

Where a called service is short of capacity, requests run and are lost when one of their calls is refused; placement cannot see it, because the service that runs them has room. The daemon beside a backend server counts the calls of each kind of requests (route and customer's rank) and how many of them found no capacity, and tells the daemons that send it such requests in the reports that they receive anyway (HopReport.calls, calls_short). Calls compete by the ranks of their parents, so the least urgent kinds are refused first. Shed calls and kinds without calls change nothing.

--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -27,6 +27,8 @@
 	queue     *backend.Queue[*backend.SlotWindow]
 	balancer  *upstream.Balancer[upstream.LatencyCost]
 	resends   *caller.ResendBudget
+	calls     *upstream.CallTally
+	shortage  *upstream.Shortage
 	// waiting holds the jobs that wait in the queue, in their order of arrival.
 	waiting []*job
 	// busyUntil is when the daemon will have processed the messages received so far.
@@ -154,7 +156,7 @@
 // distribution of mean 1.
 func (j *job) run() {
 	d, sim := j.daemon, j.daemon.sim
-	j.started = sim.now
+	j.started, j.request.started = sim.now, true
 	if sim.rng.Float64() < d.shedRatio {
 		d.queue.Done(sim.now, j.entry, backend.Shed)
 		j.reply(upstream.NewAttempt(caller.OutcomeNotRun, caller.ReasonOverload, true, false, 0))
@@ -175,6 +177,9 @@
 	finish := func(res result) {
 		pending--
 		failed = failed || !res.served
+		if res.call {
+			d.calls.Record(sim.now, j.request.kind(), res.short)
+		}
 		if pending == 0 {
 			j.complete(failed)
 		}
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -16,8 +16,10 @@
 	priority caller.Priority
 	// spent is the time already spent on the request that made this one as a call, and resent
 	// states that this request, or that one, has reached another backend server before.
-	spent               time.Duration
-	resent              bool
+	spent  time.Duration
+	resent bool
+	// started states that a backend server has started the request.
+	started             bool
 	begun               time.Time
 	objective, deadline time.Time
 	retry               *upstream.RetryState
@@ -30,6 +32,8 @@
 type result struct {
 	served, refused bool
 	retryAfter      time.Duration
+	// call states that the request is a call, and short that it found no capacity.
+	call, short bool
 }
 
 const (
@@ -60,6 +64,12 @@
 func (r *request) admit() {
 	d := r.daemon
 	r.begun = d.sim.now
+	if !r.priority.Nested() {
+		if retryAfter, ok := d.shortage.Admit(d.sim.now, r.kind()); !ok {
+			r.finish(result{refused: true, retryAfter: r.daemon.jitter(max(retryAfter, minRetryAfter))})
+			return
+		}
+	}
 	if !r.resent {
 		d.resends.RecordRequest(d.sim.now, r.class.GetService(), r.priority.Nested())
 	} else if !d.resends.AllowCall(d.sim.now, r.class.GetService(), d.sim.share()) {
@@ -81,6 +91,14 @@
 	return true
 }
 
+// kind returns the kind of requests that share the fate of their calls.
+func (r *request) kind() upstream.Kind { return upstream.NewKind(r.class.GetName(), r.priority) }
+
+// jitter lengthens a time at random.
+func (d *daemon) jitter(t time.Duration) time.Duration {
+	return t + time.Duration(d.sim.rng.Float64()*retryAfterJitter*float64(t))
+}
+
 func (r *request) upstreamRequest() upstream.Request {
 	return upstream.NewRequest(r.class.GetName(), int(r.class.GetSize()), r.objective.Sub(r.daemon.sim.now))
 }
@@ -118,9 +136,10 @@
 	sim, to := r.daemon.sim, r.daemon.sim.byID[i.ID()]
 	r.daemon.send(to, func() {
 		to.admit(r, redirectable, func(a upstream.Attempt) {
-			report := to.loadReport(r.class.GetName())
+			report, calls := to.loadReport(r.class.GetName()), to.calls.Report(sim.now, r.kind())
 			to.send(r.daemon, func() {
 				r.daemon.balancer.Done(sim.now, i.ID(), r.upstreamRequest(), a.Result(), report)
+				r.daemon.shortage.Record(sim.now, r.kind(), calls)
 				r.retry.Record(i.ID(), a)
 				r.lastAttempt = a
 				next()
@@ -140,9 +159,7 @@
 	case r.retry.MayHaveRun():
 		r.finish(result{})
 	default:
-		retryAfter := max(r.retry.RetryAfter(), minRetryAfter)
-		retryAfter += time.Duration(r.daemon.sim.rng.Float64() * retryAfterJitter * float64(retryAfter))
-		r.finish(result{refused: true, retryAfter: retryAfter})
+		r.finish(result{refused: true, retryAfter: r.daemon.jitter(max(r.retry.RetryAfter(), minRetryAfter))})
 	}
 }
 
@@ -152,6 +169,7 @@
 	}
 	r.finished = true
 	if r.priority.Nested() {
+		res.call, res.short = true, !res.served && !r.started
 		r.daemon.sim.scores[r.class.GetName()].record(r.daemon.sim.now, r, res)
 	}
 	r.onDone(res)
--- a/internal/emulate/simulation.go
+++ b/internal/emulate/simulation.go
@@ -75,6 +75,8 @@
 				slowdown: 1,
 				queue:    backend.NewQueue(backend.NewSlotWindow(int(s.GetSlots())), backend.NewRateLimiter(coldRateFactor, coldSlack)),
 				balancer: upstream.NewBalancer(upstream.LatencyCost{}, host, centre),
+				calls:    upstream.NewCallTally(),
+				shortage: upstream.NewShortage(),
 				resends:  caller.NewResendBudget(resendRatio, resendSlack, resendWindow),
 			}
 			sim.daemons = append(sim.daemons, d)
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -81,6 +81,7 @@
 	begin := time.Now()
 	r := a.admitAndRun(ctx, req, instance, redirectable)
 	running, waiting, limit, mean := a.queue.Load()
+	r.calls = a.calls.tally.Report(begin, req.kind())
 	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
 	a.events.request(classOf(r.outcome, logs.Attempt), "admission", req.id, "route", req.route, "customer", req.customer,
 		"outcome", r.outcome.String(), "reason", string(r.reason), "status", r.status, "instance", r.instance,
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -7,6 +7,7 @@
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/table"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
 // runningRequest is what the calls of a request need to know of it.
@@ -38,10 +39,19 @@
 type runningRequests struct {
 	protocol Protocol
 	byID     *table.Table[string, runningRequest]
+	// tally counts the calls for the reports to the daemons that sent their parents.
+	tally *upstream.CallTally
 }
 
 func newRunningRequests(p Protocol) *runningRequests {
-	return &runningRequests{protocol: p, byID: table.New[string, runningRequest](lock.Calls)}
+	return &runningRequests{protocol: p, byID: table.New[string, runningRequest](lock.Calls), tally: upstream.NewCallTally()}
+}
+
+// recordCall records the response to a request if it is a call.
+func (r *runningRequests) recordCall(now time.Time, req *request, resp *response) {
+	if req.parent != "" {
+		r.tally.Record(now, req.parentKind, resp.lacksCapacity())
+	}
 }
 
 // begin records that a request is sent to the backend server. end must be called once it has been
@@ -83,6 +93,7 @@
 // and it ends with its parent at the latest.
 func (req *request) makeCall(now time.Time, parent runningRequest, rank int) {
 	req.parent = parent.route
+	req.parentKind = upstream.NewKind(parent.route, parent.priority)
 	req.priority = parent.priority.Call(rank)
 	req.spent = parent.spent + max(0, now.Sub(parent.started)+parent.suspended.Elapsed())
 	req.resent = parent.resent
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -171,6 +171,7 @@
 		peers:        d.peers,
 		resendBudget: caller.NewResendBudget(bounds.GetRetryRatio(), bounds.GetRetrySlack(), bounds.GetRetryWindow().AsDuration()),
 		fleetShare:   d.gossiper.fleetShare,
+		shortage:     upstream.NewShortage(),
 	}
 	d.limiter = &rateLimiter{
 		fleetState:   d.state,
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -11,6 +11,7 @@
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/suspend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
 // Header fields of requests and responses between daemons. Their values are the
@@ -101,6 +102,8 @@
 		Instance: proto.String(r.instance),
 	}.Build()
 	encodeLoad(m, r.load)
+	m.SetCalls(uint32(r.calls.Calls()))
+	m.SetCallsShort(uint32(r.calls.Short()))
 	return m
 }
 
@@ -112,6 +115,7 @@
 		delivered:  m.GetOffered(),
 		retryAfter: time.Duration(m.GetWait()) * time.Microsecond,
 		load:       decodeLoad(m),
+		calls:      upstream.NewCallReport(int(m.GetCalls()), int(m.GetCallsShort())),
 		instance:   m.GetInstance(),
 	}
 	switch {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -137,7 +137,9 @@
 	decision.request.body = b
 	decision.request.fingerprint = fingerprint(decision.request)
 	in.protocol.Prepare(decision.request.header, Origin{id: meta.id, service: in.service, customer: decision.request.customer})
-	return decision, in.sender.send(ctx, decision.request, decision.attempts)
+	resp := in.sender.send(ctx, decision.request, decision.attempts)
+	in.calls.recordCall(time.Now(), decision.request, resp)
+	return decision, resp
 }
 
 // admit decides whether a request is admitted, and determines its route, customer,
@@ -179,8 +181,15 @@
 	}
 	decision.customer = customer
 	decision.request.customer = customer.Name()
-	if !isCall {
-		decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
+	if isCall {
+		return decision
+	}
+	decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
+	if known {
+		retryAfter, ok := in.sender.shortage.Admit(now, decision.request.kind())
+		if !ok {
+			decision.refusal, decision.retryAfter = caller.ReasonOverload, jitter(max(retryAfter, minRetryAfter))
+		}
 	}
 	return decision
 }
@@ -301,6 +310,15 @@
 type response struct {
 	*result
 	attempts int
+	// reached states that a backend server may have received the request.
+	reached bool
+}
+
+// lacksCapacity reports whether the request was refused because no backend server had capacity for
+// it in time. A backend server that sheds a request says nothing about its capacity.
+func (r *response) lacksCapacity() bool {
+	return r.outcome == caller.OutcomeNotRun && !r.reached &&
+		(r.reason == caller.ReasonOverload || r.reason == caller.ReasonDeadlineExceeded)
 }
 
 // refusedResponse returns the response to a request that has not run.
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -29,6 +29,8 @@
 	configVersion        uint64
 	// parent is the route of the running request that made this one as a call, or "".
 	parent string
+	// parentKind is the kind of that request.
+	parentKind upstream.Kind
 	// spent is the time already spent on that request.
 	spent time.Duration
 	// begun is when the request was first to be sent to an instance.
@@ -52,6 +54,9 @@
 	return caller.NewNeed(r.priority, r.objective, r.deadline, work).WithSpent(r.spent)
 }
 
+// kind returns the kind of requests that share the fate of their calls.
+func (r *request) kind() upstream.Kind { return upstream.NewKind(r.route, r.priority) }
+
 // startBytes is the number of bytes of a larger body that are read before the request is sent
 // to the backend server. One is enough to know that the sender is committed.
 const startBytes = 4 << 10
@@ -148,8 +153,10 @@
 	header http.Header
 	body   []byte
 	// lease is the memory that the body takes from the budget.
-	lease      *http1.Lease
-	load       upstream.LoadReport
+	lease *http1.Lease
+	load  upstream.LoadReport
+	// calls reports the calls that requests of the same kind have made at the instance.
+	calls      upstream.CallReport
 	retryAfter time.Duration
 	// waited is the time that the request spent in the queue of the instance's daemon.
 	waited time.Duration
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +45,7 @@
 	peers        *peerClients
 	detector     *failureDetector
 	resendBudget *caller.ResendBudget
+	shortage     *upstream.Shortage
 	// fleetShare returns this daemon's share of the fleet's budget for resends.
 	fleetShare func() float64
 }
@@ -148,6 +150,10 @@
 		r = s.sendRemote(ctx, req, placement, redirectable)
 	}
 	s.balancer.Done(time.Now(), i.ID(), req.upstreamRequest(), attemptResult(r), r.load)
+	if fraction, reduced := s.shortage.Record(time.Now(), req.kind(), r.calls); reduced {
+		s.events.stateChange("calls find no capacity", "route", req.route, "calls", r.calls.Calls(), "short", r.calls.Short(),
+			"admitted", strconv.FormatFloat(fraction, 'f', 2, 64))
+	}
 	if r.daemonUnreachable {
 		s.events.spawn(func() { s.detector.reportFailure(i.Address().Host()) })
 	}
@@ -280,6 +286,7 @@
 func (state *sendState) response(ctx context.Context) *response {
 	resp := state.outcomeResponse(ctx)
 	resp.attempts = len(state.Tried())
+	resp.reached = resp.attempts > 0 && state.Reached()
 	if state.last != nil {
 		resp.instance = state.last.instance
 	}
--- a/pkg/upstream/retry.go
+++ b/pkg/upstream/retry.go
@@ -79,6 +79,9 @@
 // have capacity, or zero if none refused for overload.
 func (s *RetryState) RetryAfter() time.Duration { return s.retryAfter }
 
+// Reached reports whether the request has reached a backend server, or may have.
+func (s *RetryState) Reached() bool { return s.sends > 0 }
+
 // MayHaveRun reports whether an instance ran the request or may have run it.
 func (s *RetryState) MayHaveRun() bool { return s.mayHaveRun }
 
