--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -28,8 +28,10 @@
 	shedRatio float64
 	queue     *backend.Queue[*backend.SlotWindow]
 	balancer  *upstream.Balancer[upstream.LatencyCost]
-	// budget limits the resends of requests that a backend server has received.
-	budget *caller.ResendBudget
+	// resends limits the resends of requests that a backend server has received.
+	resends  *caller.ResendBudget
+	calls    *upstream.CallTally
+	shortage *upstream.Shortage
 	// waiting holds the jobs that wait in the queue, in their order of arrival.
 	waiting []*job
 	// busyUntil is when the daemon will have processed the messages received so far.
@@ -66,6 +68,7 @@
 	daemon  *daemon
 	reply   func(upstream.Attempt)
 	expired bool
+	started time.Time
 }
 
 // admit submits a request to the queue of the backend server. If redirectable is set,
@@ -156,6 +159,7 @@
 // distribution of mean 1.
 func (j *job) run() {
 	d, sim := j.daemon, j.daemon.sim
+	j.started, j.request.started = sim.now, true
 	if sim.rng.Float64() < d.shedRatio {
 		d.queue.Done(sim.now, j.entry, backend.Shed)
 		j.reply(upstream.NewAttempt(caller.OutcomeNotRun, caller.ReasonOverload, true, false, 0))
@@ -176,6 +180,9 @@
 	finish := func(res result) {
 		pending--
 		failed = failed || !res.served
+		if res.call {
+			d.calls.Record(sim.now, j.request.kind(), res.short)
+		}
 		if pending == 0 {
 			j.complete(failed)
 		}
@@ -188,7 +195,7 @@
 		for range call.GetTimes() {
 			pending++
 			r := &request{
-				class: class, daemon: d, priority: j.request.priority.Call(int(class.GetPriority())), onDone: finish,
+				class: class, daemon: d, resent: j.request.resent, spent: sim.now.Sub(j.started), priority: j.request.priority.Call(int(class.GetPriority())), onDone: finish,
 				objective: sim.now.Add(class.GetObjective().AsDuration()),
 				deadline:  earlier(sim.now.Add(class.GetDeadline().AsDuration()), j.request.deadline),
 			}
--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -11,9 +11,16 @@
 
 // request is one submission by a caller, or a nested call by a running request.
 type request struct {
-	class               *schema.EmulatedClass
-	daemon              *daemon
-	priority            caller.Priority
+	class    *schema.EmulatedClass
+	daemon   *daemon
+	priority caller.Priority
+	// spent is the time already spent on the request that made this one as a call, and resent
+	// states that this request, or that one, has reached another backend server before.
+	spent  time.Duration
+	resent bool
+	// started states that a backend server has started the request.
+	started             bool
+	begun               time.Time
 	objective, deadline time.Time
 	retry               *upstream.RetryState
 	lastAttempt         upstream.Attempt
@@ -25,6 +32,8 @@
 type result struct {
 	served, refused bool
 	retryAfter      time.Duration
+	// call states that the request is a call, and short that it found no capacity.
+	call, short bool
 }
 
 const (
@@ -39,9 +48,50 @@
 
 func (r *request) start() {
 	r.retry = upstream.NewRetryState(maxAttempts, r.class.GetOnce(), r.priority.Nested(), true)
-	r.daemon.budget.RecordRequest(r.daemon.sim.now, r.class.GetService())
 	r.daemon.sim.at(r.deadline, func() { r.finish(result{}) })
-	r.daemon.handle(r.tryNext)
+	r.daemon.handle(r.admit)
+}
+
+// admit records the request in the daemon's budget for resends and sends it.
+func (r *request) admit() {
+	d := r.daemon
+	r.begun = d.sim.now
+	if !r.priority.Nested() {
+		if retryAfter, ok := d.shortage.Admit(d.sim.now, r.kind()); !ok {
+			r.finish(result{refused: true, retryAfter: r.daemon.jitter(max(retryAfter, minRetryAfter))})
+			return
+		}
+	}
+	if !r.resent {
+		d.resends.RecordRequest(d.sim.now, r.class.GetService(), r.priority.Nested())
+	} else if !d.resends.AllowCall(d.sim.now, r.class.GetService(), d.sim.share()) {
+		r.finish(result{refused: true, retryAfter: minRetryAfter})
+		return
+	}
+	r.tryNext()
+}
+
+// mayResend reports whether a request that has reached a backend server may be sent to another one.
+func (r *request) mayResend() bool {
+	d := r.daemon
+	if r.retry.ServerFailed() && d.balancer.FailsEverywhere(r.upstreamRequest()) {
+		return false
+	}
+	need := caller.NewNeed(r.priority, r.objective, r.deadline, d.balancer.MeanRunTime(r.class.GetName()))
+	urgent := need.WithSpent(r.spent + d.sim.now.Sub(r.begun)).Urgent()
+	if !d.resends.AllowResend(d.sim.now, r.class.GetService(), urgent, d.sim.share()) {
+		return false
+	}
+	r.resent = true
+	return true
+}
+
+// kind returns the kind of requests that share the fate of their calls.
+func (r *request) kind() upstream.Kind { return upstream.NewKind(r.class.GetName(), r.priority) }
+
+// jitter lengthens a time at random.
+func (d *daemon) jitter(t time.Duration) time.Duration {
+	return t + time.Duration(d.sim.rng.Float64()*retryAfterJitter*float64(t))
 }
 
 func (r *request) upstreamRequest() upstream.Request {
@@ -71,16 +121,6 @@
 	r.finishWithLast()
 }
 
-// mayResend reports whether a request that a backend server has received may be sent to another
-// one.
-func (r *request) mayResend() bool {
-	d := r.daemon
-	if r.retry.ServerFailed() && d.balancer.FailsEverywhere(r.upstreamRequest()) {
-		return false
-	}
-	return d.budget.AllowResend(d.sim.now, r.class.GetService(), 1/float64(len(d.sim.daemons)))
-}
-
 func (r *request) attempt(i fleet.Instance, redirectable bool) { r.forward(i, redirectable, r.tryNext) }
 
 func (r *request) attemptLast(i fleet.Instance) { r.forward(i, false, r.finishWithLast) }
@@ -94,9 +134,10 @@
 	}
 	r.daemon.send(to, func() {
 		to.admit(r, redirectable, func(a upstream.Attempt) {
-			report := to.loadReport(r.class.GetName())
+			report, calls := to.loadReport(r.class.GetName()), to.calls.Report(sim.now, r.kind())
 			to.send(r.daemon, func() {
 				r.daemon.balancer.Done(sim.now, i.ID(), r.upstreamRequest(), a.Result(), report)
+				r.daemon.shortage.Record(sim.now, r.kind(), calls)
 				r.retry.Record(i.ID(), a)
 				r.lastAttempt = a
 				next()
@@ -116,9 +157,7 @@
 	case r.retry.MayHaveRun():
 		r.finish(result{})
 	default:
-		retryAfter := max(r.retry.RetryAfter(), minRetryAfter)
-		retryAfter += time.Duration(r.daemon.sim.rng.Float64() * retryAfterJitter * float64(retryAfter))
-		r.finish(result{refused: true, retryAfter: retryAfter})
+		r.finish(result{refused: true, retryAfter: r.daemon.jitter(max(r.retry.RetryAfter(), minRetryAfter))})
 	}
 }
 
@@ -128,6 +167,7 @@
 	}
 	r.finished = true
 	if r.priority.Nested() {
+		res.call, res.short = true, !res.served && !r.started
 		r.daemon.sim.scores[r.class.GetName()].record(r.daemon.sim.now, r, res)
 	}
 	r.onDone(res)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -172,6 +172,7 @@
 		peers:        d.peers,
 		resendBudget: newResendBudget(bounds),
 		fleetShare:   d.gossiper.fleetShare,
+		shortage:     upstream.NewShortage(),
 	}
 	d.limiter = &rateLimiter{
 		fleetState:   d.state,
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +45,7 @@
 	peers        *peerClients
 	detector     *failureDetector
 	resendBudget *caller.ResendBudget
+	shortage     *upstream.Shortage
 	// fleetShare returns this daemon's share of the fleet's budget for resends.
 	fleetShare func() float64
 }
@@ -62,8 +64,15 @@
 // send sends a request, with at most the given number of attempts, and returns the
 // response for its caller.
 func (s *sender) send(ctx context.Context, req *request, attempts int) *response {
-	s.resendBudget.RecordRequest(time.Now(), req.service)
-	nested, _, _ := req.priority.Components()
+	begin, nested := time.Now(), req.priority.Nested()
+	switch {
+	case !req.resent:
+		s.resendBudget.RecordRequest(begin, req.service, nested)
+	case !s.resendBudget.AllowCall(begin, req.service, s.fleetShare()):
+		s.events.request(logs.Refusal, "call of a resent request not sent", req.id, "service", req.service, "parent", req.parent)
+		return refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+	}
+	req.begun = begin
 	state := &sendState{RetryState: upstream.NewRetryState(attempts, req.atMostOnce, nested, req.body.replayable())}
 	for s.mayAttempt(ctx, req, state) {
 		placement, more, ok := s.pickInstance(ctx, req, state.Tried())
@@ -88,7 +97,10 @@
 	if state.failedResponse != nil && s.balancer.FailsEverywhere(req.upstreamRequest()) {
 		return false
 	}
-	if !s.resendBudget.AllowResend(time.Now(), req.service, s.fleetShare()) {
+	now := time.Now()
+	urgent := req.need(s.balancer.MeanRunTime(req.route)).WithSpent(req.spent + now.Sub(req.begun)).Urgent()
+	if !s.resendBudget.AllowResend(now, req.service, urgent, s.fleetShare()) {
+		s.events.request(logs.Refusal, "resend not allowed", req.id, "service", req.service, "urgent", urgent)
 		return false
 	}
 	req.resent = true
@@ -138,6 +150,10 @@
 		r = s.sendRemote(ctx, req, placement, redirectable)
 	}
 	s.balancer.Done(time.Now(), i.ID(), req.upstreamRequest(), attemptResult(r), r.load)
+	if fraction, reduced := s.shortage.Record(time.Now(), req.kind(), r.calls); reduced {
+		s.events.stateChange("calls find no capacity", "route", req.route, "calls", r.calls.Calls(), "short", r.calls.Short(),
+			"admitted", strconv.FormatFloat(fraction, 'f', 2, 64))
+	}
 	if r.daemonUnreachable {
 		s.events.spawn(func() { s.detector.reportFailure(i.Address().Host()) })
 	}
@@ -271,6 +287,7 @@
 func (state *sendState) response(ctx context.Context) *response {
 	resp := state.outcomeResponse(ctx)
 	resp.attempts = len(state.Tried())
+	resp.reached = resp.attempts > 0 && state.Reached()
 	if state.last != nil {
 		resp.instance = state.last.instance
 	}
