--- a/internal/sidecar/bounds_test.go
+++ b/internal/sidecar/bounds_test.go
@@ -16,14 +16,14 @@
 func TestMissingBounds(t *testing.T) {
 	now := time.Now()
 	b := newResendBudget(&schema.Bounds{})
-	b.RecordRequest(now, "s")
-	if b.AllowResend(now, "s", 1) {
+	b.RecordRequest(now, "s", false)
+	if b.AllowResend(now, "s", true, 1) {
 		t.Error("a resend without a bound")
 	}
 	limited := schema.Bounds_builder{RetryRatio: proto.Float64(10), RetryWindow: durationpb.New(time.Second)}.Build()
 	b = newResendBudget(limited)
-	b.RecordRequest(now, "s")
-	if !b.AllowResend(now, "s", 1) {
+	b.RecordRequest(now, "s", false)
+	if !b.AllowResend(now, "s", true, 1) {
 		t.Error("no resend within the bound")
 	}
 	l := newColdLimiter(&schema.Bounds{})
