Do not declare daemons unreachable while a link is busy

Connects and pings of 250 ms failed between healthy daemons whose links bodies filled, and they marked each other as unreachable. peer.Patience decides: after a time-out, a daemon is pinged for as long as the own link's backlog and the daemon's last reported one explain its silence, 750 ms at most. Where no link is busy, and after a refused or reset connection, the verdict is as fast as before.

A script plays bodies over a narrow link between daemons: delayed and refused bodies, a small request beside them, a killed and a stuck sender.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -160,6 +160,7 @@
 	d.detector = &failureDetector{
 		ctx: ctx, balancer: balancer, events: d.events,
 		ping: d.peers.ping, isPublished: d.gossiper.isPublished, broadcast: d.gossiper.broadcastUnreachable,
+		links: newBusyLinks(d.admission.link),
 	}
 	d.gossiper.detector = d.detector
 	d.sender = &sender{
@@ -337,6 +338,7 @@
 			keep[h.IP()] = true
 		}
 		d.peers.sweep(now, keep)
+		d.detector.links.sweep(now)
 		d.updateGauges(now)
 	}
 }
@@ -356,6 +358,7 @@
 	d.metrics.gauge("store_items_rejected", float64(d.state.rejectedItems.Load()))
 	d.metrics.gauge("paused_seconds", d.monitor.Paused().Seconds())
 	d.admission.link.updateGauges(now, d.metrics.gauge)
+	d.metrics.gauge("daemons_excused", float64(d.detector.links.excused.Load()))
 	d.out.SetGauges(now, d.metrics.gauge)
 	if cfg := d.state.config.Load(); cfg != nil {
 		d.metrics.customers.sweep(cfg)
--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/lycheehead/lycheehead/pkg/lock"
+	"github.com/lycheehead/lycheehead/pkg/peer"
+	"github.com/lycheehead/lycheehead/pkg/table"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
@@ -12,6 +19,9 @@
 	// of a daemon that did not answer.
 	minPingInterval = 100 * time.Millisecond
 	maxPingInterval = time.Second
+	// maxBusyExtra is how much longer than usual a daemon is waited for while a link is busy.
+	// Together with a time-out of 250 ms, a failed daemon is noticed within a second even so.
+	maxBusyExtra = 750 * time.Millisecond
 )
 
 // failureDetector tracks which daemons do not answer. It pings an unreachable daemon
@@ -28,12 +38,99 @@
 	isPublished func(ip string) bool
 	// broadcast reports an unreachable daemon to the other daemons of the data centre.
 	broadcast func(ip string)
+	// links tracks how busy the links of this machine and of others are.
+	links *busyLinks
+}
+
+// busyLinks tracks for how long the links of this machine and of others are busy with bodies. A
+// nil busyLinks knows of none.
+type busyLinks struct {
+	own *linkPacer
+	// until is the time until which the link of another machine is busy, by IP address,
+	// according to its last report.
+	until    *table.Table[string, time.Time]
+	patience peer.Patience
+	// excused counts how often a daemon answered that had been slow beside a busy link.
+	excused atomic.Int64
+}
+
+func newBusyLinks(own *linkPacer) *busyLinks {
+	return &busyLinks{own: own, until: table.New[string, time.Time](lock.Routes), patience: peer.NewPatience(maxBusyExtra)}
+}
+
+// record records the backlog that a daemon has reported.
+func (b *busyLinks) record(now time.Time, ip string, backlog time.Duration) {
+	switch {
+	case b == nil:
+	case backlog > 0:
+		b.until.Put(ip, now.Add(backlog))
+	default:
+		b.until.Delete(ip)
+	}
+}
+
+// sweep removes what is no longer of use.
+func (b *busyLinks) sweep(now time.Time) {
+	b.until.Sweep(func(_ string, until time.Time) bool { return now.Before(until) })
+}
+
+// backlogs returns for how long the link of this machine and that of another one are busy.
+func (b *busyLinks) backlogs(now time.Time, ip string) (own, reported time.Duration) {
+	if b == nil {
+		return 0, 0
+	}
+	if b.own.limited() {
+		own = b.own.link.Backlog(now)
+	}
+	if until, ok := b.until.Get(ip); ok {
+		reported = max(0, until.Sub(now))
+	}
+	return own, reported
+}
+
+// failureOf returns how a daemon failed to answer. ETIMEDOUT is no time-out in this sense: the
+// kernel reports it once nothing has been acknowledged for long. Neither is a request that was
+// given up after further pings.
+func failureOf(err error) peer.Failure {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, errDaemonUnresponsive):
+		return peer.Disconnected
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
+		return peer.TimedOut
+	}
+	return peer.Disconnected
+}
+
+// confirm reports whether a daemon is unreachable that did not answer within the usual time-out,
+// for the given reason. While a link is busy, it pings the daemon for as long as that explains
+// the silence. It returns false if the daemon answers or ctx ends.
+func (d *failureDetector) confirm(ctx context.Context, ip string, err error) bool {
+	begin := time.Now()
+	own, reported := d.links.backlogs(begin, ip)
+	if d.links == nil || d.links.patience.Unreachable(failureOf(err), 0, own, reported) {
+		return true
+	}
+	d.events.stateChange("daemon slow, link busy", "ip", ip, "own", own.String(), "reported", reported.String(), "error", err.Error())
+	for {
+		err = d.ping(ctx, ip)
+		if err == nil {
+			d.links.excused.Add(1)
+		}
+		if err == nil || localShortage(err) || ctx.Err() != nil {
+			return false
+		}
+		// The backlogs at the begin count: they have drained by now.
+		if d.links.patience.Unreachable(failureOf(err), time.Since(begin), own, reported) {
+			return true
+		}
+	}
 }
 
 // reportFailure marks a daemon that did not answer as unreachable. If it was not
 // marked before, the other daemons of the data centre are notified.
-func (d *failureDetector) reportFailure(ip string) {
-	if d.markUnreachable(ip) {
+func (d *failureDetector) reportFailure(ip string, err error) {
+	if d.confirm(d.ctx, ip, err) && d.markUnreachable(ip) {
 		d.broadcast(ip)
 	}
 }
@@ -44,7 +141,7 @@
 // checkReachable pings a daemon that may be unreachable, and marks it if it does not
 // answer. The other daemons are not notified.
 func (d *failureDetector) checkReachable(ip string) {
-	if err := d.ping(d.ctx, ip); err != nil && !localShortage(err) {
+	if err := d.ping(d.ctx, ip); err != nil && !localShortage(err) && d.confirm(d.ctx, ip, err) {
 		d.markUnreachable(ip)
 	}
 }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -133,9 +133,12 @@
 	} else {
 		r = s.sendRemote(ctx, req, placement, redirectable)
 	}
+	if r.load.Limit() > 0 {
+		s.detector.links.record(time.Now(), i.Address().Host(), r.load.LinkBacklog())
+	}
 	s.balancer.Done(time.Now(), i.ID(), req.upstreamRequest(), attemptResult(r), r.load)
 	if r.daemonUnreachable {
-		s.events.spawn(func() { s.detector.reportFailure(i.Address().Host()) })
+		s.events.spawn(func() { s.detector.reportFailure(i.Address().Host(), r.err) })
 	}
 	if r.hasResponse() {
 		s.balancer.RecordResponseSize(req.upstreamRequest(), len(r.body))
@@ -219,12 +222,13 @@
 // pingDaemon pings a daemon that has not responded to a request yet, and cancels the
 // request if two pings fail and the request may be given up.
 func (s *sender) pingDaemon(ctx context.Context, ip string, mayGiveUp func() bool, cancel context.CancelCauseFunc) {
+	var err error
 	for range 2 {
-		if err := s.peers.ping(ctx, ip); err == nil || localShortage(err) {
+		if err = s.peers.ping(ctx, ip); err == nil || localShortage(err) {
 			return
 		}
 	}
-	if ctx.Err() == nil && mayGiveUp() {
+	if ctx.Err() == nil && s.detector.confirm(ctx, ip, err) && mayGiveUp() {
 		s.events.stateChange("daemon unresponsive", "ip", ip)
 		cancel(errDaemonUnresponsive)
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -116,6 +116,9 @@
 	stops sync.WaitGroup
 	// grace is the grace time of the daemons that are started.
 	grace time.Duration
+	// link is the rate of the links of the daemons that are started, in bytes per second, 0 if
+	// unknown.
+	link int64
 	// pending holds the responses to the requests sent in the background, by the name that
 	// the script gives them.
 	pending map[string]chan string
@@ -343,6 +346,8 @@
 		f.limitFiles(args[1] == "none")
 	case "listed": // listed a,b: requests list these fields in their Connection field from now on
 		f.listed = args[1]
+	case "link": // link 200000: the rate of the links of the daemons that are started from now on
+		f.link, _ = strconv.ParseInt(args[1], 10, 64)
 	case "grace": // grace 6s: the grace time of the daemons that are started from now on
 		f.grace = f.duration(args[1])
 	case "get", "post", "upload", "chunked":
@@ -469,6 +474,7 @@
 		Ready:    proto.String(f.addressOf(name, portReady)),
 		Control:  proto.String(control),
 		Store:    proto.String(f.listener.Addr().String()),
+		Link:     proto.Int64(f.link),
 		Bounds: schema.Bounds_builder{
 			Grace:       durationpb.New(f.grace),
 			RetryRatio:  proto.Float64(0.2),
