--- a/pkg/lock/order.go
+++ b/pkg/lock/order.go
@@ -37,7 +37,8 @@
 	// Routes guards what this daemon has observed of the backend servers that it sends
 	// requests to, and the state of its pushes to other daemons.
 	Routes
-	// Peers guards the clients of other daemons.
+	// Peers guards the clients of other daemons, and what of the machine's link is promised to
+	// them.
 	Peers
 	// Connections guards the connections to other daemons and to HTTP servers.
 	Connections
