Assume the mean load for instances without a recent report

Cause: the reported load of an instance halves every 250 ms, so that an instance from which a daemon has had no report for half a second looked idle. While demand rises, all daemons sent their requests to the instances that they knew least of, and to full ones of their data centre again and again.

Change: in place of the part of a report that has decayed, the mean load of the other instances of the data centre counts, and half of it for an instance that has not sent a report yet. The half-life of a report is 500 ms.

--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// reportHalfLife is the half-life of the weight of a reported load.
-	reportHalfLife = 250 * time.Millisecond
+	// reportHalfLife is the half-life of the weight of a reported load, about two run times.
+	reportHalfLife = 500 * time.Millisecond
 	// defaultRunTime is the assumed run time of a request before the first report.
 	defaultRunTime = 50 * time.Millisecond
 	// overloadBackoff is how long an instance is avoided that refused a request for
@@ -105,9 +105,9 @@
 	// runTime is the expected run time of the request.
 	runTime  time.Duration
 	inflight int
-	// reportedLoad is the number of requests last reported, decayed with the age of
-	// the report.
-	reportedLoad float64
+	// reportedLoad is the number of requests last reported, of which reportWeight has not decayed
+	// with the age of the report. A Balancer takes the rest from the other instances.
+	reportedLoad, reportWeight float64
 	// failures is the share of recent responses that were failures, and failureRate that share
 	// as far as the other instances of the service fail less often.
 	failures    failureRate
@@ -126,10 +126,7 @@
 // ExpectedLatency estimates the time until the response, from the run time, the
 // load and the queue. It leaves out the network.
 func (p Placement) ExpectedLatency() time.Duration {
-	limit := float64(p.instance.Slots())
-	if p.report.limit > 0 {
-		limit = float64(p.report.limit)
-	}
+	limit := p.limit()
 	mean := p.runTime
 	if p.report.meanRunTime > 0 {
 		mean = p.report.meanRunTime
@@ -140,6 +137,14 @@
 	return time.Duration(float64(p.runTime)*(1+slowdown) + float64(mean)*queue)
 }
 
+// limit returns the number of requests that the instance runs concurrently.
+func (p Placement) limit() float64 {
+	if p.report.limit > 0 {
+		return float64(p.report.limit)
+	}
+	return float64(p.instance.Slots())
+}
+
 // NetworkCost returns the cost of leaving the machine or the data centre, expressed
 // as a time.
 func (p Placement) NetworkCost() time.Duration {
@@ -186,6 +191,11 @@
 	failures     failureRate
 }
 
+// reportWeight returns the share of the last report that has not decayed.
+func (s instanceState) reportWeight(now time.Time) float64 {
+	return math.Exp2(-max(0, now.Sub(s.reportedAt)).Seconds() / reportHalfLife.Seconds())
+}
+
 // Balancer chooses instances for requests. It is safe for concurrent use. Use
 // NewBalancer to create one.
 type Balancer[P CostModel] struct {
@@ -248,11 +258,11 @@
 	// are compared.
 	eligible := make([]int, 0, len(instances))
 	var inBackoff []int
-	rates := failureRates{now: now}
+	observed := observations{now: now}
 	for n := range instances {
 		i := &instances[n]
 		s, _ := b.instances.Get(i.ID())
-		rates.add(i.Centre(), s.failures)
+		observed.add(i.Centre(), s)
 		if slices.Contains(tried, i.ID()) || b.Unreachable(i.Address().Host()) {
 			continue
 		}
@@ -268,7 +278,7 @@
 	if len(eligible) == 0 {
 		return Placement{}, false
 	}
-	best := b.cheapest(rnd, r, instances, eligible, rates)
+	best := b.cheapest(rnd, r, instances, eligible, observed)
 	b.addInflight(best.instance.ID())
 	return best, true
 }
@@ -290,12 +300,13 @@
 
 func (b *Balancer[P]) placement(now time.Time, r Request, i fleet.Instance) Placement {
 	s, _ := b.instances.Get(i.ID())
-	halfLives := max(0, now.Sub(s.reportedAt)).Seconds() / reportHalfLife.Seconds()
+	weight := s.reportWeight(now)
 	return Placement{
 		instance:     i,
 		report:       s.report,
 		inflight:     s.inflight,
-		reportedLoad: float64(s.report.running+s.report.waiting) * math.Exp2(-halfLives),
+		reportedLoad: float64(s.report.running+s.report.waiting) * weight,
+		reportWeight: weight,
 		failures:     s.failures,
 		local:        i.Address().Host() == b.host,
 		sameCentre:   i.Centre() == b.centre,
@@ -339,8 +350,8 @@
 const kindFailureWeight = 0.05
 
 // cheapest returns the cheapest placement at a random sample of candidates, which are indices
-// of instances. The sample always includes the local one. rates are those of all instances.
-func (b *Balancer[P]) cheapest(rnd Rand, r Request, instances []fleet.Instance, candidates []int, rates failureRates) Placement {
+// of instances. The sample always includes the local one. observed covers all instances.
+func (b *Balancer[P]) cheapest(rnd Rand, r Request, instances []fleet.Instance, candidates []int, observed observations) Placement {
 	rnd.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	best, bestCost := Placement{}, math.Inf(1)
 	sameCentre, remote := sameCentreSamples, remoteSamples
@@ -354,8 +365,9 @@
 			continue
 		}
 		*left = max(0, *left-1)
-		p := b.placement(rates.now, r, *i)
-		p.failureRate = rates.excess(i.Centre(), p.failures)
+		p := b.placement(observed.now, r, *i)
+		p.failureRate = observed.excessFailures(i.Centre(), p.failures)
+		p.reportedLoad += p.limit() * observed.assumedLoad(i.Centre(), p.reportWeight, p.report.limit > 0)
 		if c := b.costModel.Cost(p); c < bestCost {
 			best, bestCost = p, c
 		}
