Skip what is forgotten when comparing instances

Change: values older than ten half-lives weigh nothing, without computing the power, and the sums of up to five data centres need one allocation.

--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -193,7 +193,7 @@
 
 // reportWeight returns the share of the last report that has not decayed.
 func (s instanceState) reportWeight(now time.Time) float64 {
-	return math.Exp2(-max(0, now.Sub(s.reportedAt)).Seconds() / reportHalfLife.Seconds())
+	return decay(now.Sub(s.reportedAt), reportHalfLife)
 }
 
 // Balancer chooses instances for requests. It is safe for concurrent use. Use
@@ -258,7 +258,7 @@
 	// are compared.
 	eligible := make([]int, 0, len(instances))
 	var inBackoff []int
-	observed := observations{now: now}
+	observed := newObservations(now)
 	for n := range instances {
 		i := &instances[n]
 		s, _ := b.instances.Get(i.ID())
--- a/pkg/upstream/failures.go
+++ b/pkg/upstream/failures.go
@@ -49,6 +49,16 @@
 }
 
 // weight returns the share of the rate that has not decayed.
-func (r failureRate) weight(now time.Time) float64 {
-	return math.Exp2(-now.Sub(r.at).Seconds() / failureHalfLife.Seconds())
+func (r failureRate) weight(now time.Time) float64 { return decay(now.Sub(r.at), failureHalfLife) }
+
+// forgottenAfter is the number of half-lives after which a value counts as forgotten. Most of what
+// a daemon knows of a large fleet is older.
+const forgottenAfter = 10
+
+// decay returns the weight of a value of the given age.
+func decay(age, halfLife time.Duration) float64 {
+	if age > forgottenAfter*halfLife {
+		return 0
+	}
+	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
 }
--- a/pkg/upstream/observations.go
+++ b/pkg/upstream/observations.go
@@ -31,6 +31,13 @@
 	centres []centreObservations
 }
 
+// usualCentres is the number of data centres up to which no memory is allocated for more.
+const usualCentres = 5
+
+func newObservations(now time.Time) observations {
+	return observations{now: now, centres: make([]centreObservations, 0, usualCentres)}
+}
+
 // centreObservations sums up the observations of the instances in a data centre.
 type centreObservations struct {
 	centre string
@@ -49,11 +56,13 @@
 		o.centres = append(o.centres, centreObservations{centre: centre})
 		c = &o.centres[len(o.centres)-1]
 	}
-	weight := s.failures.weight(o.now)
-	c.rates += s.failures.rate * weight
-	c.weight += weight
-	c.responses += s.failures.responses * weight
-	c.failures += s.failures.failures * weight
+	if s.failures.responses > 0 {
+		weight := s.failures.weight(o.now)
+		c.rates += s.failures.rate * weight
+		c.weight += weight
+		c.responses += s.failures.responses * weight
+		c.failures += s.failures.failures * weight
+	}
 	if s.report.limit > 0 {
 		weight := s.reportWeight(o.now)
 		c.loads += weight * float64(s.report.running+s.report.waiting) / float64(s.report.limit)
