--- a/pkg/upstream/failures.go
+++ b/pkg/upstream/failures.go
@@ -49,69 +49,16 @@
 }
 
 // weight returns the share of the rate that has not decayed.
-func (r failureRate) weight(now time.Time) float64 {
-	return math.Exp2(-now.Sub(r.at).Seconds() / failureHalfLife.Seconds())
-}
+func (r failureRate) weight(now time.Time) float64 { return decay(now.Sub(r.at), failureHalfLife) }
 
-// failureRates compares the failure rates of the instances of a service, to tell how much more
-// often one fails than the others.
-//
-// It addresses a service of which all backend servers shed or fail the same share of all
-// requests for some seconds, with free slots. That says nothing about any one of them. If they
-// were avoided for it, instances that have not been observed lately would appear better, most of
-// them in other data centres, and a large part of the requests would leave the data centre to be
-// shed there. A data centre whose backend servers fail more often than those of another one is
-// avoided all the same, which some responses of the other one show.
-type failureRates struct {
-	now     time.Time
-	centres []centreFailures
-}
+// forgottenAfter is the number of half-lives after which a value counts as forgotten. Most of what
+// a daemon knows of a large fleet is older.
+const forgottenAfter = 10
 
-// centreFailures adds up the failure rates of the instances in a data centre.
-type centreFailures struct {
-	centre              string
-	rates, weight       float64
-	responses, failures float64
-}
-
-func (f *failureRates) add(centre string, r failureRate) {
-	c := f.centre(centre)
-	if c == nil {
-		f.centres = append(f.centres, centreFailures{centre: centre})
-		c = &f.centres[len(f.centres)-1]
-	}
-	weight := r.weight(f.now)
-	c.rates += r.rate * weight
-	c.weight += weight
-	c.responses += r.responses * weight
-	c.failures += r.failures * weight
-}
-
-func (f failureRates) centre(name string) *centreFailures {
-	for n := range f.centres {
-		if f.centres[n].centre == name {
-			return &f.centres[n]
-		}
-	}
-	return nil
-}
-
-func (c centreFailures) rate() float64 { return c.failures / (c.responses + assumedSuccesses) }
-
-// excess returns the failure rate of an instance that has been added, as far as it exceeds that
-// of the others in its data centre, plus a part of the rate by which the data centre exceeds the
-// best one.
-func (f failureRates) excess(centre string, r failureRate) float64 {
-	own := f.centre(centre)
-	best := own.rate()
-	for _, c := range f.centres {
-		best = min(best, c.rate())
-	}
-	weight := r.weight(f.now)
-	rate, others := r.rate*weight, own.weight-weight
-	if others < minFailureWeight {
-		return rate
+// decay returns the weight of a value of the given age.
+func decay(age, halfLife time.Duration) float64 {
+	if age > forgottenAfter*halfLife {
+		return 0
 	}
-	common := (own.rates - rate) / others
-	return min(1, rate*min(1, max(0, rate-common)/(common*fullExcess+minExcess))+centreShare*(own.rate()-best))
+	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
 }
--- a/pkg/upstream/link.go
+++ b/pkg/upstream/link.go
@@ -1,9 +1,6 @@
 package upstream
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // minPacedBody is the size in bytes above which the body of a request waits for the link of the
 // machine that it is sent to. Smaller bodies are sent at once.
@@ -24,13 +21,13 @@
 // LinkPace returns the time that the machine's link needs for a KiB, or zero if it is unknown.
 func (r LoadReport) LinkPace() time.Duration { return r.linkPace }
 
-// linkTime returns the expected time until a body of size bytes has arrived, given the age of the
-// report in half-lives. A backlog loses its weight with the age of the report like the reported
-// load: it may have drained, or been refilled.
-func (r LoadReport) linkTime(size int, halfLives float64) time.Duration {
+// linkTime returns the expected time until a body of size bytes has arrived, given the share
+// of the report that has not decayed. A backlog loses its weight with the age of the report like the
+// reported load: it may have drained, or been refilled.
+func (r LoadReport) linkTime(size int, weight float64) time.Duration {
 	if size <= minPacedBody {
 		return 0
 	}
 	transfer := float64(r.linkPace) * float64(size) / 1024
-	return time.Duration(float64(r.linkBacklog)*math.Exp2(-halfLives) + transfer)
+	return time.Duration(float64(r.linkBacklog)*weight + transfer)
 }
