--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -59,6 +59,7 @@
 	running atomic.Int64
 	// calls holds the requests at the backend server, whose ids the ids of calls extend.
 	calls    *runningRequests
+	metrics  *metrics
 	shutdown *shutdown
 }
 
@@ -81,6 +82,7 @@
 	begin := time.Now()
 	r := a.admitAndRun(ctx, req, instance, redirectable)
 	running, waiting, limit, mean := a.queue.Load()
+	a.metrics.recordAdmission(req, r, redirectable)
 	r.calls = a.calls.tally.Report(begin, req.kind())
 	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
 	a.events.request(classOf(r.outcome, logs.Attempt), "admission", req.id, "route", req.route, "customer", req.customer,
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -29,11 +29,14 @@
 // TestCalls guards against calls that are taken for callers' requests, that lose the ranks of
 // their parents on the way to another daemon, or that outlive them. A script begins and ends runs
 // (begin ID RANK DEADLINE [resent]) and lets requests arrive (arrive ID RANK DEADLINE OBJECTIVE),
-// each of which is printed as the daemon beside the called server receives it.
+// each of which is printed as the daemon beside the called server receives it. answer ID REASON
+// [reached] ends a call, and prints the report on calls of its parent's kind as another daemon
+// receives it: shed calls must not look like a lack of capacity.
 func TestCalls(t *testing.T) {
 	datadriven.RunTest(t, "testdata/calls", func(t *testing.T, d *datadriven.TestData) string {
 		calls := newRunningRequests(dottedIDs{})
 		now := time.Now()
+		requests := make(map[string]*request)
 		in := func(text string) time.Time {
 			after, err := time.ParseDuration(text)
 			if err != nil {
@@ -65,11 +68,20 @@
 				if parent, ok := calls.parent(req.id); ok {
 					req.makeCall(now, parent, rank(f[2]))
 				}
+				requests[req.id] = req
 				got := decodeHop(encodeHop(req, "i1", now, false), now)
 				nested, _, route := got.priority.Components()
 				fmt.Fprintf(&out, "%s: call %t, ranks %d %d, deadline %s, objective %s, spent %s, resent %t\n", line, nested, route,
 					got.priority.CallRank(), got.deadline.Sub(now).Round(time.Millisecond), got.objective.Sub(now).Round(time.Millisecond),
 					got.spent.Round(time.Millisecond), got.resent)
+			case "answer":
+				req, resp := requests[f[1]], &response{result: &result{outcome: caller.OutcomeRan}, reached: len(f) > 3}
+				if f[2] != "ran" {
+					resp.result = notRun(caller.Reason(f[2]))
+				}
+				calls.recordCall(now, req, resp)
+				got := decodeReport(encodeReport(&result{calls: calls.tally.Report(now, req.parentKind)})).calls
+				fmt.Fprintf(&out, "%s: %d calls, %d without capacity\n", line, got.Calls(), got.Short())
 			default:
 				t.Fatalf("unknown line %q", line)
 			}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -172,6 +172,7 @@
 		resendBudget: caller.NewResendBudget(bounds.GetRetryRatio(), bounds.GetRetrySlack(), bounds.GetRetryWindow().AsDuration()),
 		fleetShare:   d.gossiper.fleetShare,
 		shortage:     upstream.NewShortage(),
+		metrics:      d.metrics,
 	}
 	d.limiter = &rateLimiter{
 		fleetState:   d.state,
@@ -223,6 +224,7 @@
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
 		calls:      newRunningRequests(p),
+		metrics:    d.metrics,
 	}
 }
 
@@ -347,6 +349,7 @@
 	d.metrics.gauge("waiting", float64(waiting))
 	d.metrics.gauge("limit", float64(limit))
 	d.metrics.gauge("work_seconds", mean.Seconds())
+	d.metrics.gauge("reserved", float64(d.admission.queue.Reserved(now)))
 	d.metrics.gauge("copy_age_seconds", d.state.age(now).Seconds())
 	d.metrics.gauge("copy_revision", float64(d.state.replica.Revision()))
 	d.metrics.gauge("instances", float64(d.state.fleet.Size()))
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -63,6 +63,9 @@
 	attempts   int
 	refusal    caller.Reason
 	retryAfter time.Duration
+	// forCalls states that the request was refused because calls of such requests find no
+	// capacity.
+	forCalls bool
 	// customer is the customer for whom the request runs, and limit the decision whether
 	// it is within the customer's rate limit.
 	customer operator.Customer
@@ -76,6 +79,9 @@
 	if d.request.parent != "" {
 		fields = append(fields, "parent", d.request.parent, "spent", d.request.spent.Round(time.Microsecond).String(), "resent", d.request.resent)
 	}
+	if d.forCalls {
+		fields = append(fields, "part", string(refusedForCalls))
+	}
 	if d.limit.reason == caller.ReasonNone {
 		return fields
 	}
@@ -189,6 +195,8 @@
 		retryAfter, ok := in.sender.shortage.Admit(now, decision.request.kind())
 		if !ok {
 			decision.refusal, decision.retryAfter = caller.ReasonOverload, jitter(max(retryAfter, minRetryAfter))
+			decision.forCalls = true
+			in.metrics.recordRefusal(decision.request.route, refusedForCalls)
 		}
 	}
 	return decision
@@ -310,7 +318,8 @@
 type response struct {
 	*result
 	attempts int
-	// reached states that a backend server may have received the request.
+	// reached states that a backend server may have received the request, or an earlier one that
+	// counts as the same.
 	reached bool
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -9,6 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // reportInterval is the time between two updates of the Prometheus registry with the
@@ -58,4 +60,38 @@
 	}
 }
 
+// refuser is a part of the daemon that refuses requests for lack of capacity.
+type refuser string
+
+const (
+	// refusedByQueue: the backend server cannot serve the request in time.
+	refusedByQueue refuser = "queue"
+	// refusedToOthers: the request would have waited, and another backend server may take it.
+	refusedToOthers refuser = "redirect"
+	// refusedForCalls: calls of such requests find no capacity.
+	refusedForCalls refuser = "calls"
+	// refusedByBudget: the budget for resends allows no further attempt.
+	refusedByBudget refuser = "resends"
+)
+
+// minDelay is the least wait that counts as a delay. Shorter ones are the time of the decision.
+const minDelay = time.Millisecond
+
+// recordRefusal counts a request that was refused for lack of capacity.
+func (m *metrics) recordRefusal(route string, by refuser) {
+	m.scope.Tagged(map[string]string{"route": route, "by": string(by)}).Counter("refused").Inc(1)
+}
+
+// recordAdmission counts what the queue of the backend server did with a request.
+func (m *metrics) recordAdmission(req *request, r *result, redirectable bool) {
+	switch {
+	case r.outcome == caller.OutcomeNotRun && r.reason == caller.ReasonOverload && !r.delivered && redirectable:
+		m.recordRefusal(req.route, refusedToOthers)
+	case r.outcome == caller.OutcomeNotRun && r.reason == caller.ReasonOverload && !r.delivered:
+		m.recordRefusal(req.route, refusedByQueue)
+	case r.outcome != caller.OutcomeNotRun && r.waited >= minDelay:
+		m.scope.Tagged(map[string]string{"route": req.route}).Counter("delayed").Inc(1)
+	}
+}
+
 func (m *metrics) gauge(name string, v float64) { m.scope.Gauge(name).Update(v) }
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -46,6 +46,7 @@
 	detector     *failureDetector
 	resendBudget *caller.ResendBudget
 	shortage     *upstream.Shortage
+	metrics      *metrics
 	// fleetShare returns this daemon's share of the fleet's budget for resends.
 	fleetShare func() float64
 }
@@ -69,8 +70,11 @@
 	case !req.resent:
 		s.resendBudget.RecordRequest(begin, req.service, nested)
 	case !s.resendBudget.AllowCall(begin, req.service, s.fleetShare()):
+		s.metrics.recordRefusal(req.route, refusedByBudget)
 		s.events.request(logs.Refusal, "call of a resent request not sent", req.id, "service", req.service, "parent", req.parent)
-		return refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+		resp := refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+		resp.reached = true
+		return resp
 	}
 	req.begun = begin
 	state := &sendState{RetryState: upstream.NewRetryState(attempts, req.atMostOnce, nested, req.body.replayable())}
@@ -100,6 +104,7 @@
 	now := time.Now()
 	urgent := req.need(s.balancer.MeanRunTime(req.route)).WithSpent(req.spent + now.Sub(req.begun)).Urgent()
 	if !s.resendBudget.AllowResend(now, req.service, urgent, s.fleetShare()) {
+		s.metrics.recordRefusal(req.route, refusedByBudget)
 		s.events.request(logs.Refusal, "resend not allowed", req.id, "service", req.service, "urgent", urgent)
 		return false
 	}
--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -73,8 +73,10 @@
 	running int
 	// runningPerClass is the number of running entries per class.
 	runningPerClass map[string]int
-	// slots is the memory of schedule.
+	// slots is the memory of schedule, and kept the number of free slots kept for calls at the
+	// time of its last call.
 	slots []time.Time
+	kept  int
 	// calls is what is known of the calls among the requests, callMean their mean service time and
 	// runningCalls the number of running ones.
 	calls        CallShare
@@ -171,6 +173,7 @@
 // their classes at first, and those of one class at even intervals over its mean service time.
 // The slice is valid until the next call.
 func (q *Queue[W]) schedule(now time.Time) []time.Time {
+	q.kept = q.reserved(now)
 	q.slots = q.slots[:0]
 	for range max(0, q.window.Size()-q.running) {
 		q.slots = append(q.slots, now)
@@ -218,9 +221,9 @@
 // once a number of others that go first have run.
 func (q *Queue[W]) startFrom(now time.Time, slots []time.Time, e *Entry, ahead int) time.Time {
 	start := slots[0]
-	if reserved := q.reserved(now); reserved > 0 && q.delays(now, e) {
+	if q.kept > 0 && q.delays(now, e) {
 		// It starts once a slot is free that is not reserved, or it can wait no longer.
-		next := slots[min(reserved, len(slots)-1)]
+		next := slots[min(q.kept, len(slots)-1)]
 		last := now.Add(q.calls.Slack(now, e.request.objective, q.work(e.request.class)))
 		if q.calls.Held(next.Sub(start)) {
 			start = next
@@ -252,11 +255,10 @@
 	if len(q.waiting) == 0 {
 		list = &q.late
 	}
-	reserved := q.reserved(now)
-	if free := q.window.Size() - q.running; free > reserved {
+	if free := q.window.Size() - q.running; free > q.reserved(now) {
 		return list, 0, true
 	}
-	if slots := q.schedule(now); !q.calls.Held(slots[min(reserved, len(slots)-1)].Sub(now)) {
+	if slots := q.schedule(now); !q.calls.Held(slots[min(q.kept, len(slots)-1)].Sub(now)) {
 		return list, 0, true
 	}
 	at = slices.IndexFunc(*list, func(e *Entry) bool { return !q.delays(now, e) })
@@ -518,6 +520,13 @@
 	return q.running, len(q.waiting) + len(q.late), q.window.Size(), q.mean
 }
 
+// Reserved returns the number of free slots that are kept for calls.
+func (q *Queue[W]) Reserved(now time.Time) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.reserved(now)
+}
+
 // MeanServiceTime returns the mean service time of a class, or zero if no request
 // of that class has been served.
 func (q *Queue[W]) MeanServiceTime(class string) time.Duration {
