--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -61,6 +61,7 @@
 	running atomic.Int64
 	// calls holds the requests at the backend server, whose ids the ids of calls extend.
 	calls    *runningRequests
+	metrics  *metrics
 	shutdown *shutdown
 }
 
@@ -83,6 +84,7 @@
 	begin := time.Now()
 	r := a.admitAndRun(ctx, req, instance, redirectable)
 	running, waiting, limit, mean := a.queue.Load()
+	a.metrics.recordAdmission(req, r, redirectable)
 	r.calls = a.calls.tally.Report(begin, req.kind())
 	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
 	if a.link.limited() {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -174,6 +174,7 @@
 		resendBudget: newResendBudget(bounds),
 		fleetShare:   d.gossiper.fleetShare,
 		shortage:     upstream.NewShortage(),
+		metrics:      d.metrics,
 	}
 	d.limiter = &rateLimiter{
 		fleetState:   d.state,
@@ -227,6 +228,7 @@
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
 		calls:      newRunningRequests(p),
+		metrics:    d.metrics,
 	}
 }
 
@@ -379,6 +381,7 @@
 	d.metrics.gauge("waiting", float64(waiting))
 	d.metrics.gauge("limit", float64(limit))
 	d.metrics.gauge("work_seconds", mean.Seconds())
+	d.metrics.gauge("reserved", float64(d.admission.queue.Reserved(now)))
 	d.metrics.gauge("copy_age_seconds", d.state.age(now).Seconds())
 	position := d.state.replica.Position()
 	d.metrics.gauge("copy_revision", float64(position.Revision()))
