Count the risk of missing the objective when placing requests

Cause: leaving the data centre costs 0.35 of the time to the objective, also where all near backend servers are full and the response would be late.

Change: a placement costs up to half of the time to the objective in addition, as its expected latency rises from 0.75 to 1.25 times that time. Where near servers meet the objective, leaving costs as much as before. Touches every deployment under load.

--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -34,6 +34,11 @@
 	// saturationSlowdown is the relative increase of the run time at a backend server
 	// whose slots are all busy.
 	saturationSlowdown = 0.3
+	// latenessCost is the cost of a response that misses its objective, as a fraction of the time
+	// left to the objective.
+	latenessCost = 0.5
+	// latenessSpread is the relative error of an expected latency. Run times vary by a third.
+	latenessSpread = 0.25
 	// headerBytes is the size of the headers of a request and its response between
 	// daemons.
 	headerBytes = 1 << 10
@@ -158,6 +163,16 @@
 	return max(minRemoteCost, time.Duration(objective*remoteCostShare)) + time.Duration(objective*remoteCostPerKiB*float64(p.transferSize)/1024)
 }
 
+// latenessRisk returns the probability that the response misses its objective: it rises from 0 to 1
+// as the expected latency rises from 1-latenessSpread to 1+latenessSpread times the objective.
+func (p Placement) latenessRisk() float64 {
+	if p.objective <= 0 {
+		return 0
+	}
+	ratio := float64(p.ExpectedLatency()) / float64(p.objective)
+	return min(1, max(0, (ratio-1+latenessSpread)/(2*latenessSpread)))
+}
+
 // CostModel ranks the placements of a request.
 type CostModel interface {
 	// Cost returns the cost of a placement, in a unit of the model's choice. The
@@ -166,12 +181,18 @@
 }
 
 // LatencyCost is the expected latency plus the network cost, in seconds. It raises
-// the latency with the failure rate, since a failure leads to another attempt.
+// the latency with the failure rate, since a failure leads to another attempt, and adds a cost for
+// the risk of missing the objective.
+//
+// That cost addresses demand that is concentrated in one data centre. A response that meets its
+// objective need not be faster, so that leaving the data centre costs more than it saves. Where
+// the near backend servers are full, the alternative is a late response.
 type LatencyCost struct{}
 
 // Cost implements CostModel.
 func (LatencyCost) Cost(p Placement) float64 {
-	return p.ExpectedLatency().Seconds()*(1+2*p.failureRate+8*p.failureRate*p.failureRate) + p.NetworkCost().Seconds()
+	latency := p.ExpectedLatency().Seconds()
+	return latency*(1+2*p.failureRate+8*p.failureRate*p.failureRate) + p.NetworkCost().Seconds() + latenessCost*p.objective.Seconds()*p.latenessRisk()
 }
 
 // UniformCost gives all placements the same cost, so that the Balancer picks at
