Probe daemons soon after a mass failure

Cause: a daemon that does not answer is probed at intervals that double from 100 ms to 1 s. When most daemons are killed at once and return after 0.5 to 2 s, one that is back can wait up to a second until the others send it requests again, while few backend servers take them all. Daemons that start refuse with the same Retry-After of 100 ms, so that their callers return together.

Change: peer.ProbeInterval probes for 3 s at 5 ms times the number of hosts that do not answer (100 ms to 1 s), and doubles the interval after that. The Retry-After of a starting daemon is lengthened by up to half at random.

Not measured on a running fleet: the emulator does not play kills yet.

--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -4,16 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
-const (
-	// minPingInterval and maxPingInterval bound the time between two pings
-	// of a daemon that did not answer.
-	minPingInterval = 100 * time.Millisecond
-	maxPingInterval = time.Second
-)
-
 // failureDetector tracks which daemons do not answer. It pings an unreachable daemon
 // to find out when it answers again, because a request sent for that purpose would
 // be delayed.
@@ -62,8 +56,12 @@
 // published, and then removes the mark.
 func (d *failureDetector) pingUntilReachable(ip string) {
 	begin := time.Now()
-	for wait := minPingInterval; d.ctx.Err() == nil; wait = min(2*wait, maxPingInterval) {
-		sleep(d.ctx, wait)
+	for late := 0; d.ctx.Err() == nil; {
+		since := time.Since(begin)
+		if since >= peer.ReturnPeriod {
+			late++
+		}
+		sleep(d.ctx, peer.ProbeInterval(since, late, d.balancer.UnreachableHosts()))
 		if d.ping(d.ctx, ip) == nil || !d.isPublished(ip) {
 			break
 		}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -144,7 +144,8 @@
 		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
 		return decision
 	case cfg == nil:
-		decision.refusal, decision.retryAfter = caller.ReasonStarting, unavailableRetryAfter
+		// Many daemons may start at once; the jitter spreads the return of their callers.
+		decision.refusal, decision.retryAfter = caller.ReasonStarting, jitter(unavailableRetryAfter)
 		return decision
 	}
 	decision.request.configVersion = cfg.Version()
--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -359,6 +359,9 @@
 	return unreachable
 }
 
+// UnreachableHosts returns the number of hosts whose daemons are known not to answer.
+func (b *Balancer[P]) UnreachableHosts() int { return b.unreachableHosts.Len() }
+
 // meanWeight is the weight of the latest value in a running mean per kind.
 const meanWeight = 0.1
 
