--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -14,15 +14,9 @@
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
-const (
-	// minPingInterval and maxPingInterval bound the time between two pings
-	// of a daemon that did not answer.
-	minPingInterval = 100 * time.Millisecond
-	maxPingInterval = time.Second
-	// maxBusyExtra is how much longer than usual a daemon is waited for while a link is busy.
-	// Together with a time-out of 250 ms, a failed daemon is noticed within a second even so.
-	maxBusyExtra = 750 * time.Millisecond
-)
+// maxBusyExtra is how much longer than usual a daemon is waited for while a link is busy.
+// Together with a time-out of 250 ms, a failed daemon is noticed within a second even so.
+const maxBusyExtra = 750 * time.Millisecond
 
 // failureDetector tracks which daemons do not answer. It pings an unreachable daemon
 // to find out when it answers again, because a request sent for that purpose would
@@ -159,8 +153,12 @@
 // published, and then removes the mark.
 func (d *failureDetector) pingUntilReachable(ip string) {
 	begin := time.Now()
-	for wait := minPingInterval; d.ctx.Err() == nil; wait = min(2*wait, maxPingInterval) {
-		sleep(d.ctx, wait)
+	for late := 0; d.ctx.Err() == nil; {
+		since := time.Since(begin)
+		if since >= peer.ReturnPeriod {
+			late++
+		}
+		sleep(d.ctx, peer.ProbeInterval(since, late, d.balancer.UnreachableHosts()))
 		if d.ping(d.ctx, ip) == nil || !d.isPublished(ip) {
 			break
 		}
