Count calls whose deadline passed among those without capacity

A call that waits in the queue of another daemon ends at its sender when it ends there, so that the sender saw an unknown outcome (504) and did not count it: found by playing a shortage against daemons (sidecar/calls_short), which refused nothing. Reports of more than half a second ago no longer count together with a new one, which had refused requests after the end of a shortage where few arrive.

internal/emulate counts such calls, too.

--- a/internal/emulate/request.go
+++ b/internal/emulate/request.go
@@ -169,7 +169,7 @@
 	}
 	r.finished = true
 	if r.priority.Nested() {
-		res.call, res.short = true, !res.served && !r.started
+		res.call, res.short = true, !res.served && (!r.started || !r.daemon.sim.now.Before(r.deadline))
 		r.daemon.sim.scores[r.class.GetName()].record(r.daemon.sim.now, r, res)
 	}
 	r.onDone(res)
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -76,7 +76,11 @@
 					got.spent.Round(time.Millisecond), got.resent)
 			case "answer":
 				req, resp := requests[f[1]], &response{result: &result{outcome: caller.OutcomeRan}, reached: len(f) > 3}
-				if f[2] != "ran" {
+				switch f[2] {
+				case "ran":
+				case "unanswered":
+					resp = unknownResponse(caller.ReasonDeadlineExceeded)
+				default:
 					resp.result = notRun(caller.Reason(f[2]))
 				}
 				calls.recordCall(now, req, resp)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -323,11 +323,18 @@
 	reached bool
 }
 
-// lacksCapacity reports whether the request was refused because no backend server had capacity for
-// it in time. A backend server that sheds a request says nothing about its capacity.
+// lacksCapacity reports whether no backend server had capacity for the request in time: it was
+// refused, or its deadline passed. Where it waits in the queue of another daemon, its sender gives up
+// at the same time as that daemon and does not learn whether it has started. A backend server that
+// sheds a request says nothing about its capacity.
 func (r *response) lacksCapacity() bool {
-	return r.outcome == caller.OutcomeNotRun && !r.reached &&
-		(r.reason == caller.ReasonOverload || r.reason == caller.ReasonDeadlineExceeded)
+	switch r.outcome {
+	case caller.OutcomeNotRun:
+		return r.reason == caller.ReasonDeadlineExceeded || r.reason == caller.ReasonOverload && !r.reached
+	case caller.OutcomeUnknown:
+		return r.reason == caller.ReasonDeadlineExceeded
+	}
+	return false
 }
 
 // refusedResponse returns the response to a request that has not run.
--- a/pkg/upstream/shortage.go
+++ b/pkg/upstream/shortage.go
@@ -158,6 +158,10 @@
 			a = admission{fraction: 1, reduced: now, counted: now}
 		}
 		fraction = a.fractionAt(now)
+		if now.Sub(a.counted) >= 2*callWindow {
+			// Few requests arrive: the reports since then are about the past.
+			a.reports = CallReport{}
+		}
 		a.reports = a.reports.add(r)
 		if now.Sub(a.counted) < callWindow {
 			return a, true
