Count resends for the whole of the budget's window

The window of a resend budget has ten buckets, the current one included, so that it covers between nine and ten seconds. Two bursts of resends nine seconds apart each used the whole share.

Resends are now counted over eleven buckets, which cover all of the window; requests are counted over ten as before.

--- a/pkg/caller/resend.go
+++ b/pkg/caller/resend.go
@@ -7,8 +7,14 @@
 	"github.com/lycheehead/lycheehead/pkg/table"
 )
 
-// windowBuckets is the number of buckets in the sliding window of a budget.
-const windowBuckets = 10
+const (
+	// windowBuckets is the number of buckets in the sliding window of a budget.
+	windowBuckets = 10
+	// resendBuckets is the number of buckets in which resends are counted. The oldest one is only
+	// partly in the window, and no less than all of the window must be covered: with as many
+	// buckets as for requests, two bursts nine tenths of a window apart each use the whole share.
+	resendBuckets = windowBuckets + 1
+)
 
 const (
 	// usableShare is the share of the fleet's limit that daemons use for resends, and
@@ -16,8 +22,7 @@
 	usableShare = 0.8
 	plainShare  = 0.5
 	// callShare is the share of the fleet's limit within which calls made by resent requests
-	// are sent. A window has up to a tenth more than its buckets count, because a bucket leaves
-	// the window as a whole.
+	// are sent. The rest covers requests that have left the window since a resend was allowed.
 	callShare = 0.9
 )
 
@@ -46,7 +51,7 @@
 	ratio    float64
 	slack    float64
 	window   time.Duration
-	services *table.Table[string, [windowBuckets]windowBucket]
+	services *table.Table[string, [resendBuckets]windowBucket]
 }
 
 // NewResendBudget returns a budget for a fleet that, in any window of the given
@@ -57,14 +62,14 @@
 		ratio:    ratio,
 		slack:    slack,
 		window:   window,
-		services: table.New[string, [windowBuckets]windowBucket](lock.Budgets),
+		services: table.New[string, [resendBuckets]windowBucket](lock.Budgets),
 	}
 }
 
 // RecordRequest records a request to a service, on its first attempt. call states that a backend
 // server makes it while it runs another request.
 func (r *ResendBudget) RecordRequest(now time.Time, service string, call bool) {
-	r.services.Update(service, func(buckets [windowBuckets]windowBucket, _ bool) ([windowBuckets]windowBucket, bool) {
+	r.services.Update(service, func(buckets [resendBuckets]windowBucket, _ bool) ([resendBuckets]windowBucket, bool) {
 		b := r.bucketAt(now, &buckets)
 		b.requests++
 		if call {
@@ -97,13 +102,15 @@
 // allow records a resend if the resends in the window stay within a part of the limit.
 func (r *ResendBudget) allow(now time.Time, service string, share float64, part func(window windowBucket) float64) bool {
 	allowed := false
-	r.services.Update(service, func(buckets [windowBuckets]windowBucket, _ bool) ([windowBuckets]windowBucket, bool) {
+	r.services.Update(service, func(buckets [resendBuckets]windowBucket, _ bool) ([resendBuckets]windowBucket, bool) {
 		current := r.bucketAt(now, &buckets)
 		var window windowBucket
 		for _, b := range buckets {
 			if current.number-b.number < windowBuckets {
 				window.requests += b.requests
 				window.calls += b.calls
+			}
+			if current.number-b.number < resendBuckets {
 				window.resends += b.resends
 			}
 		}
@@ -118,9 +125,9 @@
 
 // bucketAt returns the bucket of an instant, reset if it still has the counts of
 // an earlier window.
-func (r *ResendBudget) bucketAt(now time.Time, buckets *[windowBuckets]windowBucket) *windowBucket {
+func (r *ResendBudget) bucketAt(now time.Time, buckets *[resendBuckets]windowBucket) *windowBucket {
 	number := now.UnixNano() / int64(r.window/windowBuckets)
-	b := &buckets[number%windowBuckets]
+	b := &buckets[number%resendBuckets]
 	if b.number != number {
 		*b = windowBucket{number: number}
 	}
