Do not report calls as short of capacity that the resend budget refuses

A call of a resent run for which the budget has no resend left is refused with reason overload and has reached no backend server, so that it counted as a call that found no capacity. While a service sheds independently of load, the runs that were resent make such calls, and Shortage then refused a part of the requests of their kind although the called service had capacity.

Responses now state that the budget refused the request.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -314,12 +314,16 @@
 	attempts int
 	// reached states that a backend server may have received the request.
 	reached bool
+	// unbudgeted states that the request was not sent because the budget for resends did not
+	// allow it.
+	unbudgeted bool
 }
 
 // lacksCapacity reports whether the request was refused because no backend server had capacity for
-// it in time. A backend server that sheds a request says nothing about its capacity.
+// it in time. Neither a backend server that sheds a request nor the budget for resends says anything
+// about its capacity.
 func (r *response) lacksCapacity() bool {
-	return r.outcome == caller.OutcomeNotRun && !r.reached &&
+	return r.outcome == caller.OutcomeNotRun && !r.reached && !r.unbudgeted &&
 		(r.reason == caller.ReasonOverload || r.reason == caller.ReasonDeadlineExceeded)
 }
 
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -70,7 +70,9 @@
 		s.resendBudget.RecordRequest(begin, req.service, nested)
 	case !s.resendBudget.AllowCall(begin, req.service, s.fleetShare()):
 		s.events.request(logs.Refusal, "call of a resent request not sent", req.id, "service", req.service, "parent", req.parent)
-		return refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+		resp := refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
+		resp.unbudgeted = true
+		return resp
 	}
 	req.begun = begin
 	state := &sendState{RetryState: upstream.NewRetryState(attempts, req.atMostOnce, nested, req.body.replayable())}
