Review a waiting body less often while only granted ones hold it up

Bodies that are granted and not requested yet wait for slots of the backend server. While they amount to 200 ms of the link, the next body waits until one of them ends, but Tick asked to be called again after a millisecond: 840 calls in a second in the new test, each of which sorts all waiting bodies on machines with 0.16 cores. Tick now asks for the longest interval, since End grants the next body: 21 calls at most in the same test.

--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -344,6 +344,10 @@
 			next = max(next, l.overdueAt(e).Sub(now))
 		}
 	}
+	if next <= 0 {
+		// Only bodies that are not requested yet hold up the first one, and End grants it.
+		return maxLinkTick
+	}
 	return min(max(next, minLinkTick), maxLinkTick)
 }
 
