--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -321,16 +321,21 @@
 type response struct {
 	*result
 	attempts int
-	// reached states that a backend server may have received the request, or an earlier one that
-	// counts as the same.
+	// reached states that a backend server may have received the request.
 	reached bool
+	// unbudgeted states that the request was not sent because the budget for resends did not
+	// allow it.
+	unbudgeted bool
 }
 
 // lacksCapacity reports whether no backend server had capacity for the request in time: it was
 // refused, or its deadline passed. Where it waits in the queue of another daemon, its sender gives up
-// at the same time as that daemon and does not learn whether it has started. A backend server that
-// sheds a request says nothing about its capacity.
+// at the same time as that daemon and does not learn whether it has started. Neither a backend server
+// that sheds a request nor the budget for resends says anything about capacity.
 func (r *response) lacksCapacity() bool {
+	if r.unbudgeted {
+		return false
+	}
 	switch r.outcome {
 	case caller.OutcomeNotRun:
 		return r.reason == caller.ReasonDeadlineExceeded || r.reason == caller.ReasonOverload && !r.reached
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -73,7 +73,7 @@
 		s.metrics.recordRefusal(req.route, refusedByBudget)
 		s.events.request(logs.Refusal, "call of a resent request not sent", req.id, "service", req.service, "parent", req.parent)
 		resp := refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
-		resp.reached = true
+		resp.unbudgeted = true
 		return resp
 	}
 	req.begun = begin
