--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -142,10 +142,7 @@
 // if there is none. The host may be in any case, and a port in it is ignored. The path
 // must not include a query.
 func (c *Config) Route(host, path string) (Route, bool) {
-	host = strings.ToLower(host)
-	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
-		host = host[:i]
-	}
+	host = matchedHost(host)
 	for i := strings.LastIndexByte(path, '/'); i >= 0; i = strings.LastIndexByte(path[:i], '/') {
 		if r, ok := c.routes[routeKey{host: host, prefix: path[:i+1]}]; ok {
 			return r, true
@@ -153,3 +150,13 @@
 	}
 	return Route{}, false
 }
+
+// matchedHost returns the part of a request's host by which routes are found: in lower case and
+// without a port.
+func matchedHost(host string) string {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return host
+}
--- a/pkg/operator/doc.go
+++ b/pkg/operator/doc.go
@@ -7,4 +7,7 @@
 // A Builder collects the content of one version. Build validates it as a whole
 // and returns an immutable Config, or all validation errors at once; a version is
 // never applied in part. A Config is safe for concurrent use, a Builder is not.
+//
+// A Draft checks a version before it is published, also for entries that have no effect, and
+// compares it with another one.
 package operator
--- a/pkg/operator/route.go
+++ b/pkg/operator/route.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"strconv"
 	"strings"
 	"time"
 )
@@ -18,6 +19,19 @@
 	Upload
 )
 
+// String returns the name of the kind.
+func (k RouteKind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case AtMostOnce:
+		return "at most once"
+	case Upload:
+		return "upload"
+	}
+	return strconv.Itoa(int(k))
+}
+
 // Target is one of a route's services with its share of the requests.
 type Target struct {
 	service string
@@ -67,7 +81,7 @@
 // WithMaxAttempts returns a copy of the route with the maximum number of backend
 // servers that a request may be sent to. A number below 1 is taken as 1.
 func (r Route) WithMaxAttempts(n int) Route {
-	r.maxAttempts = max(n, 1)
+	r.maxAttempts = n
 	return r
 }
 
@@ -109,8 +123,8 @@
 func (r Route) LatencyObjective() time.Duration { return r.latencyObjective }
 
 // MaxAttempts returns the maximum number of backend servers that a request may
-// be sent to.
-func (r Route) MaxAttempts() int { return r.maxAttempts }
+// be sent to, which is at least 1.
+func (r Route) MaxAttempts() int { return max(r.maxAttempts, 1) }
 
 // Priority returns the priority; 0 is the most urgent.
 func (r Route) Priority() int { return r.priority }
