Add the command config check

Cause: operators had no way to check a configuration of their store before they send it. Change: lycheehead config check FILE [--against FILE] prints findings with file, line and column, and the differences from the version in force. Exit codes: 0, 3 for any finding, 4 for differences only.

--- a/cmd/lycheehead/main.go
+++ b/cmd/lycheehead/main.go
@@ -20,7 +20,7 @@
 	// exitInvalid is for invalid input, such as settings, bundles and plans.
 	exitInvalid = 3
 	// exitNegative is for commands that worked and whose answer is negative: two
-	// bundles differ, or no log line mentions the request.
+	// bundles or configurations differ, or no log line mentions the request.
 	exitNegative  = 4
 	exitViolation = 5
 )
@@ -31,6 +31,7 @@
 	Run     runCommand     `cmd:"" help:"Run the daemon of a backend server in a mesh that is configured with signed bundles."`
 	Sidecar sidecarCommand `cmd:"" help:"Run the daemon of a backend server in a fleet that is configured through the operators' store. The environment variable LYCHEEHEAD_NODE_FILE holds the path of the settings file."`
 	Bundle  bundleCommand  `cmd:"" help:"Check, sign and compare bundles, and create keys."`
+	Config  configCommand  `cmd:"" help:"Check configurations for the operators' store."`
 	Mesh    meshCommand    `cmd:"" help:"Create the certificates with which daemons authenticate each other."`
 	Status  statusCommand  `cmd:"" help:"Print the status of a daemon that was started with run."`
 	Load    loadCommand    `cmd:"" help:"Generate load and compare the outcomes reported to callers with the requests that the backend servers ran."`
