--- a/internal/sidecar/resent_call_test.go
+++ b/internal/sidecar/resent_call_test.go
@@ -17,6 +17,7 @@
 	s := &sender{
 		fleetState:   &fleetState{events: newEvents(logs.NewWriter(io.Discard), "m1", "muc")},
 		resendBudget: caller.NewResendBudget(0.2, 0, 10*time.Second), fleetShare: func() float64 { return 1 },
+		metrics: newMetrics(),
 	}
 	calls := newRunningRequests(dottedIDs{})
 	parent := &request{id: "a", route: "read", priority: caller.NewPriority(false, 0, 0), deadline: time.Now().Add(time.Second), resent: true}
