Age the run times of instances, and leave a full data centre sooner

A server that had been slow for a while got no further requests, so that its last report stayed; and a request that a near server had refused was queued at another near one, although servers of other data centres had free slots.

Change: what an instance has reported of its run time loses weight against the mean of all instances, with a half-life of 2 s. Once an instance has refused a request or failed, leaving the data centre costs 0.3 of what it costs before.

--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -31,6 +31,9 @@
 	minRemoteCost    = 20 * time.Millisecond
 	remoteCostShare  = 0.35
 	remoteCostPerKiB = 0.02
+	// refusedRemoteShare is the fraction of that cost that remains once an instance has refused the
+	// request or failed. The near ones are then likely to be full as well.
+	refusedRemoteShare = 0.3
 	// saturationSlowdown is the relative increase of the run time at a backend server
 	// whose slots are all busy.
 	saturationSlowdown = 0.3
@@ -121,6 +124,8 @@
 	failureRate float64
 	local       bool
 	sameCentre  bool
+	// refused states that another instance has refused the request, or failed.
+	refused bool
 	// transferSize is the expected bytes of the request and its response, and
 	// objective the time left in which it should be answered.
 	transferSize int
@@ -164,6 +169,9 @@
 		return hopCost
 	}
 	objective := float64(p.objective)
+	if p.refused {
+		objective *= refusedRemoteShare
+	}
 	return max(minRemoteCost, time.Duration(objective*remoteCostShare)) + time.Duration(objective*remoteCostPerKiB*float64(p.transferSize)/1024)
 }
 
@@ -303,7 +311,7 @@
 	if len(eligible) == 0 {
 		return Placement{}, false
 	}
-	best := b.cheapest(rnd, r, instances, eligible, observed)
+	best := b.cheapest(rnd, r, instances, eligible, len(tried) > 0, observed)
 	b.addInflight(best.instance.ID())
 	return best, true
 }
@@ -335,7 +343,7 @@
 		failures:     s.failures,
 		local:        i.Address().Host() == b.host,
 		sameCentre:   i.Centre() == b.centre,
-		runTime:      b.runTime(i.ID(), r.kind),
+		runTime:      b.runTime(i.ID(), r.kind, now.Sub(s.reportedAt)),
 		transferSize: b.transferSize(r),
 
 		objective: r.objective,
@@ -380,7 +388,7 @@
 
 // cheapest returns the cheapest placement at a random sample of candidates, which are indices
 // of instances. The sample always includes the local one. observed covers all instances.
-func (b *Balancer[P]) cheapest(rnd Rand, r Request, instances []fleet.Instance, candidates []int, observed observations) Placement {
+func (b *Balancer[P]) cheapest(rnd Rand, r Request, instances []fleet.Instance, candidates []int, refused bool, observed observations) Placement {
 	rnd.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	best, bestCost := Placement{}, math.Inf(1)
 	sameCentre, remote := sameCentreSamples, remoteSamples
@@ -395,6 +403,7 @@
 		}
 		*left = max(0, *left-1)
 		p := b.placement(observed.now, r, *i)
+		p.refused = refused
 		p.failureRate = observed.excessFailures(i.Centre(), p.failures)
 		p.reportedLoad += p.limit() * observed.assumedLoad(i.Centre(), p.reportWeight, p.report.limit > 0)
 		if c := b.costModel.Cost(p); c < bestCost {
--- a/pkg/upstream/estimates.go
+++ b/pkg/upstream/estimates.go
@@ -1,8 +1,11 @@
 package upstream
 
-import (
-	"time"
-)
+import "time"
+
+// runTimeHalfLife is the half-life of the difference between the run time that an instance has last
+// reported and the mean of all instances. Without a half-life, an instance that was slow for a while
+// would get no further requests and could not show that it is fast again.
+const runTimeHalfLife = 2 * time.Second
 
 // runTimeKey is a kind of request at an instance. The key with an empty instance
 // holds the mean over all instances.
@@ -10,14 +13,17 @@
 	instance, kind string
 }
 
-// runTime returns the mean run time of a kind of request at an instance. A kind
-// that has not been observed there gets the mean of all instances.
-func (b *Balancer[P]) runTime(instance, kind string) time.Duration {
-	if d, ok := b.runTimes.Get(runTimeKey{instance: instance, kind: kind}); ok {
-		return d
-	}
-	if d, ok := b.runTimes.Get(runTimeKey{kind: kind}); ok {
-		return d
+// runTime returns the expected run time of a kind of request at an instance, given the age of the
+// instance's last report: what it has reported, and increasingly the mean of all instances as that
+// report ages. A kind that has not been observed there gets the mean.
+func (b *Balancer[P]) runTime(instance, kind string, age time.Duration) time.Duration {
+	mean, known := b.runTimes.Get(runTimeKey{kind: kind})
+	own, observed := b.runTimes.Get(runTimeKey{instance: instance, kind: kind})
+	switch {
+	case observed && known:
+		return mean + time.Duration(decay(age, runTimeHalfLife)*float64(own-mean))
+	case known:
+		return mean
 	}
 	return defaultRunTime
 }
