Forget the pace of a link with the report that stated it

The pace of a machine's link in its last report counted for any time. An instance whose link was very slow for a moment got no request with a body any more while others were idle, and sent no other report that would have ended this. The pace now counts until the report is forgotten, after 5 s as for the load.

--- a/pkg/upstream/link.go
+++ b/pkg/upstream/link.go
@@ -23,9 +23,10 @@
 
 // linkTime returns the expected time until a body of size bytes has arrived, given the share
 // of the report that has not decayed. A backlog loses its weight with the age of the report like the
-// reported load: it may have drained, or been refilled.
+// reported load: it may have drained, or been refilled. A report that is forgotten says nothing of the
+// link, which may have been slow for a moment: while an instance is avoided, it sends no other report.
 func (r LoadReport) linkTime(size int, weight float64) time.Duration {
-	if size <= minPacedBody {
+	if size <= minPacedBody || weight == 0 {
 		return 0
 	}
 	transfer := float64(r.linkPace) * float64(size) / 1024
