Do not take requests with an API key for calls

A customer chooses the ids of its requests. While one with id X runs, further ones with ids X.1, X.2 at the same machine were taken for calls of X: they went before all customers' requests, got eight refusals instead of two and the part of the resend budget that is kept for calls, and were not refused in a shortage. Backend servers never see an API key, so that their calls carry none, and a request with one is now a customer's. A request without a valid key was refused before as well, also if its id looks like a call's; the new test covers both.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -168,6 +168,9 @@
 	decision.request.service = route.ChooseService(rand.Float64()) //nolint:gosec // no secret
 	in.setDeadlines(now, decision.request, route, meta)
 	parent, isCall := in.calls.parent(meta.id)
+	// Backend servers never see an API key, so a request with one comes from a customer, who must
+	// not get ahead of others by the id that it chooses.
+	isCall = isCall && meta.key == ""
 	if isCall {
 		decision.request.makeCall(now, parent, route.Priority())
 	}
