Accept any number of blanks around a Content-Length

The checker of responses keeps 24 bytes of a value and counted the blanks before and behind it. It rejected a valid response whose Content-Length has 23 blanks beside it. Blanks are now not kept before the value and not counted behind the kept part.

--- a/internal/wirecheck/checker.go
+++ b/internal/wirecheck/checker.go
@@ -152,15 +152,22 @@
 		return malformed("control byte 0x%02x", b)
 	}
 	if c.keeps {
-		if len(c.value) == maxKept {
-			c.badLength = true
-			return nil
-		}
-		c.value = append(c.value, b)
+		c.keep(b)
 	}
 	return nil
 }
 
+// keep adds a byte to the value. There may be any number of blanks around it.
+func (c *Checker) keep(b byte) {
+	blank := b == ' ' || b == '\t'
+	switch {
+	case len(c.value) < maxKept && !(blank && len(c.value) == 0):
+		c.value = append(c.value, b)
+	case !blank:
+		c.badLength = true
+	}
+}
+
 func (c *Checker) statusByte(b byte) error {
 	at := c.at
 	c.at++
