Do not report calls as short of capacity whose parents left them no time

A call ends with its parent at the latest. In a slow episode of a server its requests run late, and a call made 150 ms before the parent's deadline is refused for its deadline although the called service has capacity. It counted as a call that found no capacity, so that Shortage refused requests of the kind everywhere. Calls for which less than their own objective is left and which are refused are no longer counted; those that succeed still are.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -47,9 +47,10 @@
 	return &runningRequests{protocol: p, byID: table.New[string, runningRequest](lock.Calls), tally: upstream.NewCallTally()}
 }
 
-// recordCall records the response to a request if it is a call.
+// recordCall records the response to a request if it is a call. A call that failed because its
+// parent left it too little time says nothing about the service that it was sent to.
 func (r *runningRequests) recordCall(now time.Time, req *request, resp *response) {
-	if req.parent != "" {
+	if req.parent != "" && !(req.hurried && resp.lacksCapacity()) {
 		r.tally.Record(now, req.parentKind, resp.lacksCapacity())
 	}
 }
@@ -102,6 +103,6 @@
 		req.deadline = deadline
 	}
 	if req.deadline.Before(req.objective) {
-		req.objective = req.deadline
+		req.objective, req.hurried = req.deadline, true
 	}
 }
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -31,6 +31,8 @@
 	parent string
 	// parentKind is the kind of that request.
 	parentKind upstream.Kind
+	// hurried indicates that less time is left to that request than the objective of this one.
+	hurried bool
 	// spent is the time already spent on that request.
 	spent time.Duration
 	// begun is when the request was first to be sent to an instance.
