Report calls as of the response, not of the arrival

A response to a request that ran 2 s carried the tally of calls of 2 s before. The shortage that it reports is forgotten within a second, so that stale reports could refuse requests after the shortage had ended. Found by review.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -85,7 +85,7 @@
 	r := a.admitAndRun(ctx, req, instance, redirectable)
 	running, waiting, limit, mean := a.queue.Load()
 	a.metrics.recordAdmission(req, r, redirectable)
-	r.calls = a.calls.tally.Report(begin, req.kind())
+	r.calls = a.calls.tally.Report(time.Now(), req.kind())
 	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
 	if a.link.limited() {
 		r.load = r.load.WithLink(a.link.link.Backlog(time.Now()), a.link.link.Pace())
