Count requests that had to wait for a slot, and keep large bodies in the data centre

And once a data centre had refused an upload, its 60 KB were sent to another one, where bytes are billed.

Change: the counter goes by the queue's state. A refusal lowers the fixed part of the cost of leaving the data centre, not that of the bytes.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -121,7 +121,7 @@
 	} else {
 		r.instance = decision.instance
 	}
-	r.waited = waited
+	r.waited, r.queued = waited, decision.state == backend.Waiting
 	return r
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -74,8 +74,6 @@
 	refusedByBudget refuser = "resends"
 )
 
-// minDelay is the least wait that counts as a delay. Shorter ones are the time of the decision.
-const minDelay = time.Millisecond
 
 // recordRefusal counts a request that was refused for lack of capacity.
 func (m *metrics) recordRefusal(route string, by refuser) {
@@ -89,7 +87,7 @@
 		m.recordRefusal(req.route, refusedToOthers)
 	case r.outcome == caller.OutcomeNotRun && r.reason == caller.ReasonOverload && !r.delivered:
 		m.recordRefusal(req.route, refusedByQueue)
-	case r.outcome != caller.OutcomeNotRun && r.waited >= minDelay:
+	case r.outcome != caller.OutcomeNotRun && r.queued:
 		m.scope.Tagged(map[string]string{"route": req.route}).Counter("delayed").Inc(1)
 	}
 }
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -164,6 +164,8 @@
 	retryAfter time.Duration
 	// waited is the time that the request spent in the queue of the instance's daemon.
 	waited time.Duration
+	// queued states that the request had to wait for a slot of the backend server.
+	queued bool
 	// instance is the id of the instance according to its daemon.
 	instance string
 	// bodySent states that a part of the request's body may have been sent to another daemon.
--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -31,8 +31,9 @@
 	minRemoteCost    = 20 * time.Millisecond
 	remoteCostShare  = 0.35
 	remoteCostPerKiB = 0.02
-	// refusedRemoteShare is the fraction of that cost that remains once an instance has refused the
-	// request or failed. The near ones are then likely to be full as well.
+	// refusedRemoteShare is the fraction of the first of these costs that remains once an instance
+	// has refused the request or failed. The near ones are then likely to be full as well. Large
+	// bodies still stay, since their bytes are billed.
 	refusedRemoteShare = 0.3
 	// saturationSlowdown is the relative increase of the run time at a backend server
 	// whose slots are all busy.
@@ -169,10 +170,11 @@
 		return hopCost
 	}
 	objective := float64(p.objective)
+	leaving := objective * remoteCostShare
 	if p.refused {
-		objective *= refusedRemoteShare
+		leaving *= refusedRemoteShare
 	}
-	return max(minRemoteCost, time.Duration(objective*remoteCostShare)) + time.Duration(objective*remoteCostPerKiB*float64(p.transferSize)/1024)
+	return max(minRemoteCost, time.Duration(leaving)) + time.Duration(objective*remoteCostPerKiB*float64(p.transferSize)/1024)
 }
 
 // latenessRisk returns the probability that the response misses its objective: it rises from 0 to 1
