Let a call be as urgent as the request that makes it

Cause: calls went before all requests, whatever made them.

Change: requests are ordered by the ranks of customer and route, a call by those of the request that makes it, and it precedes new requests of its rank.

--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -71,8 +71,9 @@
 				requests[req.id] = req
 				got := decodeHop(encodeHop(req, "i1", now, false), now)
 				nested, _, route := got.priority.Components()
+				callRank, _ := got.priority.CallRank()
 				fmt.Fprintf(&out, "%s: call %t, ranks %d %d, deadline %s, objective %s, spent %s, resent %t\n", line, nested, route,
-					got.priority.CallRank(), got.deadline.Sub(now).Round(time.Millisecond), got.objective.Sub(now).Round(time.Millisecond),
+					callRank, got.deadline.Sub(now).Round(time.Millisecond), got.objective.Sub(now).Round(time.Millisecond),
 					got.spent.Round(time.Millisecond), got.resent)
 			case "answer":
 				req, resp := requests[f[1]], &response{result: &result{outcome: caller.OutcomeRan}, reached: len(f) > 3}
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -50,7 +50,7 @@
 	// The receiver measures time from the arrival of the request, so the time that this
 	// machine was suspended is subtracted here.
 	now = now.Add(req.suspended.Elapsed())
-	return schema.Hop_builder{
+	hop := schema.Hop_builder{
 		Service:      proto.String(req.service),
 		Instance:     proto.String(instance),
 		Timeout:      proto.Int64(req.deadline.Sub(now).Microseconds()),
@@ -66,16 +66,20 @@
 		Route:        proto.String(req.route),
 		Spent:        proto.Int64(req.spent.Microseconds()),
 		Resent:       proto.Bool(req.resent),
-		CallRank:     proto.Uint32(uint32(req.priority.CallRank())),
 	}.Build()
+	if rank, ok := req.priority.CallRank(); ok {
+		hop.SetCallRank(uint32(rank))
+	}
+	return hop
 }
 
 // decodeHop returns the request that a message describes. The times in the message are
 // relative to now.
 func decodeHop(m *schema.Hop, now time.Time) *request {
 	priority := caller.NewPriority(m.GetNested(), int(m.GetCustomerRank()), int(m.GetRouteRank()))
-	if m.GetNested() {
-		priority = priority.Call(int(m.GetCallRank()))
+	if m.HasCallRank() {
+		parent := caller.NewPriority(false, int(m.GetCustomerRank()), int(m.GetRouteRank()))
+		priority = parent.Call(int(m.GetCallRank()))
 	}
 	return &request{
 		service:       m.GetService(),
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -74,7 +74,6 @@
 	refusedByBudget refuser = "resends"
 )
 
-
 // recordRefusal counts a request that was refused for lack of capacity.
 func (m *metrics) recordRefusal(route string, by refuser) {
 	m.scope.Tagged(map[string]string{"route": route, "by": string(by)}).Counter("refused").Inc(1)
--- a/pkg/caller/need.go
+++ b/pkg/caller/need.go
@@ -9,36 +9,46 @@
 type Priority struct {
 	nested          bool
 	customer, route int
-	// call is the rank of the call's own route, where customer and route are those of the
-	// request that made it.
-	call int
+	// ranked states that customer and route are those of the request that made the call, and call
+	// is then the rank of the call's own route.
+	ranked bool
+	call   int
 }
 
-// NewPriority returns the priority of a request. Requests that a backend server makes
-// while it runs another one go first, because the other one occupies a slot in the
-// meantime. The customer's rank comes next, then the route's. Lower ranks are more
-// urgent; operators use 0 for the most urgent.
+// NewPriority returns the priority of a request. The customer's rank comes first, then the route's.
+// Lower ranks are more urgent; operators use 0 for the most urgent. A nested request, which a backend
+// server makes while it runs another one, precedes all others: it is not known how urgent that one
+// is, which occupies a slot in the meantime.
 func NewPriority(nested bool, customer, route int) Priority {
 	return Priority{nested: nested, customer: customer, route: route}
 }
 
 // Call returns the priority of a call that a backend server makes while it runs a request of
-// priority p, on a route with the given rank. Among calls, the ranks of the requests that made
-// them decide, and only then their own.
+// priority p, on a route with the given rank. The call is as urgent as that request, and precedes
+// requests of that urgency that have not been started. Among calls of the same urgency, their own
+// ranks decide.
 func (p Priority) Call(route int) Priority {
-	return Priority{nested: true, customer: p.customer, route: p.route, call: route}
+	return Priority{nested: true, customer: p.customer, route: p.route, ranked: !p.nested || p.ranked, call: route}
 }
 
 // Compare returns a negative number if p is more urgent than o, a positive number if
 // it is less urgent, and 0 if they are equal.
 func (p Priority) Compare(o Priority) int {
-	if p.nested != o.nested {
-		if p.nested {
-			return -1
-		}
-		return 1
+	return cmp.Or(
+		trueFirst(p.nested && !p.ranked, o.nested && !o.ranked),
+		cmp.Compare(p.customer, o.customer), cmp.Compare(p.route, o.route),
+		trueFirst(p.nested, o.nested), cmp.Compare(p.call, o.call),
+	)
+}
+
+func trueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
 	}
-	return cmp.Or(cmp.Compare(p.customer, o.customer), cmp.Compare(p.route, o.route), cmp.Compare(p.call, o.call))
+	return 1
 }
 
 // Nested reports whether a backend server makes the request while it runs another one.
@@ -50,8 +60,9 @@
 	return p.nested, p.customer, p.route
 }
 
-// CallRank returns the argument of Call, or 0 if Call did not return the priority.
-func (p Priority) CallRank() int { return p.call }
+// CallRank returns the argument of Call. ok is false if it is not known how urgent the request is
+// on whose behalf this one is made, or if this one is not a call.
+func (p Priority) CallRank() (rank int, ok bool) { return p.call, p.ranked }
 
 // Need is what a request needs of a resource that is short, such as the slots of a backend
 // server or the link of a machine, and by when. All components that delay or refuse requests for
--- a/pkg/caller/need_test.go
+++ b/pkg/caller/need_test.go
@@ -13,8 +13,9 @@
 )
 
 // TestNeed guards against an overload in which urgent or short requests are refused and long or
-// less urgent ones are served. Each line of a script is a request: its name, its kind (call or
-// new), the rank of its route, its objective, its deadline and its work. The output is the order
+// less urgent ones are served. Each line of a script is a request: its name, its kind (new, call of a
+// request of the given rank, or nested in an unknown one), the rank, its objective, its deadline and
+// its work. The output is the order
 // of service and the order in which the requests are refused.
 func TestNeed(t *testing.T) {
 	type request struct {
@@ -30,7 +31,11 @@
 			if _, err := fmt.Sscan(line, &name, &kind, &rank, &objective, &deadline, &work); err != nil {
 				t.Fatal(err)
 			}
-			need := caller.NewNeed(caller.NewPriority(kind == "call", 0, rank),
+			priority := caller.NewPriority(kind == "nested", 0, rank)
+			if kind == "call" {
+				priority = priority.Call(0)
+			}
+			need := caller.NewNeed(priority,
 				start.Add(duration(t, objective)), start.Add(duration(t, deadline)), duration(t, work))
 			requests = append(requests, request{name: name, need: need})
 		}
