State how long requests may wait under shortage in one place

The queue of a backend server and the link of a machine each had the shares of the time to the objective and to the deadline, with a comment that they must be the same. They stand beside caller.Need now, whose order both use. The tests pass unchanged.

--- a/pkg/backend/callshare.go
+++ b/pkg/backend/callshare.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 const (
@@ -69,7 +71,7 @@
 // Held reports whether slots are kept free although, if a request took one, as many would be free
 // for calls again after the given time. Calls that wait for less are not worth idle slots.
 func (c *CallShare) Held(again time.Duration) bool {
-	return again > time.Duration(float64(c.tolerance)*redirectWaitShare)
+	return again > caller.MaxRedirectWait(c.tolerance)
 }
 
 // Slack returns for how long a request of the given work may leave free slots to calls. It is
--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -19,12 +19,6 @@
 	// expected to take at least. A request that would miss its deadline even so is
 	// rejected.
 	minServiceShare = 0.7
-	// redirectWaitShare is the fraction of the time until its objective that a
-	// request may be expected to wait if another backend server may still take it.
-	redirectWaitShare = 0.25
-	// lateWaitShare is the fraction of the time until its deadline that a request
-	// may be expected to wait if it cannot meet its objective.
-	lateWaitShare = 0.15
 	// recheckInterval is the time after which a request that leaves free slots to calls is
 	// considered again if nothing else happens.
 	recheckInterval = 50 * time.Millisecond
@@ -123,7 +117,7 @@
 	q.deferLate(now)
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compareEntries)
 	if redirectable {
-		if wait := q.startOf(now, e, at).Sub(now); wait > q.maxRedirectWait(now, r) {
+		if wait := q.startOf(now, e, at).Sub(now); wait > caller.MaxRedirectWait(r.objective.Sub(now)) {
 			e.retryAfter = wait
 			e.decide(Overloaded)
 			return e, e.state, e.retryAfter
@@ -151,12 +145,6 @@
 	return slices.Insert(entries, at, e)
 }
 
-// maxRedirectWait returns how long a request may be expected to wait that another backend server
-// may take.
-func (q *Queue[W]) maxRedirectWait(now time.Time, r Request) time.Duration {
-	return max(0, time.Duration(float64(r.objective.Sub(now))*redirectWaitShare))
-}
-
 // minServiceTime returns the minimum time that a request is expected to run.
 func (q *Queue[W]) minServiceTime(r Request) time.Duration {
 	return time.Duration(float64(q.classMeans[r.class]) * minServiceShare)
@@ -273,7 +261,7 @@
 	}
 	slots := q.schedule(now)
 	q.waiting = q.rejectUnstartable(now, slots, q.waiting, 0, 1)
-	q.late = q.rejectUnstartable(now, slots, q.late, len(q.waiting), lateWaitShare)
+	q.late = q.rejectUnstartable(now, slots, q.late, len(q.waiting), caller.LateWaitShare)
 }
 
 // restoreVictims moves the late entries back that can still meet their objective. They may do so
--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -35,11 +35,6 @@
 	// A waiting body is reviewed at intervals between minLinkTick and maxLinkTick.
 	minLinkTick = time.Millisecond
 	maxLinkTick = 50 * time.Millisecond
-	// redirectWaitShare and lateWaitShare are the shares that the queue of a backend server
-	// uses: of the time to its objective for a request that another machine may take, and of
-	// the time to its deadline for a request that cannot meet its objective.
-	redirectWaitShare = 0.25
-	lateWaitShare     = 0.15
 	// acceptShare is the share of the time that a body may wait that it is expected to wait at
 	// most when it is accepted. The rest absorbs errors of the estimate, so that few bodies are
 	// refused after they have waited.
@@ -193,7 +188,7 @@
 	l.expireSamples(now)
 	l.waiting = append(l.waiting, e)
 	l.sort(now)
-	if wait := l.estimateWait(now, e); t.redirectable && wait > max(0, time.Duration(float64(t.objective.Sub(now))*redirectWaitShare)) {
+	if wait := l.estimateWait(now, e); t.redirectable && wait > caller.MaxRedirectWait(t.objective.Sub(now)) {
 		l.refuse(slices.Index(l.waiting, e), wait)
 		return e, e.state, e.wait
 	}
@@ -522,7 +517,7 @@
 	}
 	wait := latest.Sub(e.submitted)
 	if !t.priority.Nested() {
-		wait = min(wait, max(t.objective.Add(-before).Sub(e.submitted), time.Duration(float64(wait)*lateWaitShare)))
+		wait = min(wait, max(t.objective.Add(-before).Sub(e.submitted), time.Duration(float64(wait)*caller.LateWaitShare)))
 	}
 	if wait > 0 {
 		wait = time.Duration(float64(wait) * acceptShare)
--- a/pkg/caller/need.go
+++ b/pkg/caller/need.go
@@ -64,6 +64,21 @@
 // on whose behalf this one is made, or if this one is not a call.
 func (p Priority) CallRank() (rank int, ok bool) { return p.call, p.ranked }
 
+const (
+	// redirectWaitShare is the fraction of the time until its objective that a request may be
+	// expected to wait for a resource if another server may still take it.
+	redirectWaitShare = 0.25
+	// LateWaitShare is the fraction of the time until its deadline that a request may be expected
+	// to wait for a resource if it cannot meet its objective.
+	LateWaitShare = 0.15
+)
+
+// MaxRedirectWait returns how long a request that another server may take may be expected to wait
+// for a resource, given the time until its objective.
+func MaxRedirectWait(untilObjective time.Duration) time.Duration {
+	return max(0, time.Duration(float64(untilObjective)*redirectWaitShare))
+}
+
 // Need is what a request needs of a resource that is short, such as the slots of a backend
 // server or the link of a machine, and by when. All components that delay or refuse requests for
 // lack of capacity order them by their needs, so that a request which one of them has let pass is
