State the size up to which bodies are sent at once in one place

The daemons that send and admit bodies, and the balancer that expects larger ones to wait for a link, had a constant each, which had to agree.

--- a/internal/sidecar/inbound.go
+++ b/internal/sidecar/inbound.go
@@ -13,12 +13,9 @@
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/handover"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 )
 
-// maxInlineBody is the size in bytes up to which a body is sent together with the
-// header of its request. A larger body is sent once the request has been admitted.
-const maxInlineBody = 16 << 10
-
 // inbound handles the requests that other daemons forward.
 type inbound struct {
 	admission *admission
@@ -50,14 +47,14 @@
 // bodyReadTimeout bounds how long an admitted request waits for its body.
 const bodyReadTimeout = time.Second
 
-// readInlineBody reads a body of up to maxInlineBody bytes. A larger one, or one that the
+// readInlineBody reads a body of up to upstream.MaxInlineBody bytes. A larger one, or one that the
 // sender sends only on request (Expect: 100-continue), is read once the request has been
 // admitted.
 func readInlineBody(w http.ResponseWriter, r *http.Request) (body, error) {
 	switch {
 	case r.ContentLength == 0:
 		return body{}, nil
-	case r.ContentLength > 0 && r.ContentLength <= maxInlineBody && r.Header.Get("Expect") == "":
+	case r.ContentLength > 0 && r.ContentLength <= upstream.MaxInlineBody && r.Header.Get("Expect") == "":
 		data, err := io.ReadAll(r.Body)
 		if err == nil && int64(len(data)) != r.ContentLength {
 			err = io.ErrUnexpectedEOF
--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -10,6 +10,7 @@
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/pkg/bandwidth"
 	"github.com/lycheehead/lycheehead/pkg/caller"
+	"github.com/lycheehead/lycheehead/pkg/upstream"
 	"github.com/lycheehead/lycheehead/pkg/workers"
 )
 
@@ -176,7 +177,7 @@
 // with small bodies need as well.
 func (a *admission) awaitLink(ctx context.Context, req *request, instance string, redirectable bool) *result {
 	f := req.body.inflow
-	if f == nil || req.body.receipt.MayBegin() || req.body.length >= 0 && req.body.length <= maxInlineBody {
+	if f == nil || req.body.receipt.MayBegin() || req.body.length >= 0 && req.body.length <= upstream.MaxInlineBody {
 		return nil
 	}
 	begin := time.Now()
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -206,7 +206,7 @@
 		}
 		return offer.Commit()
 	})
-	if !req.body.replayable() || len(req.body.prefix) > maxInlineBody || req.atMostOnce {
+	if !req.body.replayable() || len(req.body.prefix) > upstream.MaxInlineBody || req.atMostOnce {
 		httpReq.SetExpectContinue()
 	}
 	if req.atMostOnce {
--- a/pkg/upstream/link.go
+++ b/pkg/upstream/link.go
@@ -2,9 +2,10 @@
 
 import "time"
 
-// minPacedBody is the size in bytes above which the body of a request waits for the link of the
-// machine that it is sent to. Smaller bodies are sent at once.
-const minPacedBody = 16 << 10
+// MaxInlineBody is the size in bytes up to which a body is sent together with the header of its
+// request. A larger body is sent once the request has been admitted and the link of the machine that
+// it is sent to has capacity for it.
+const MaxInlineBody = 16 << 10
 
 // WithLink returns a copy of the report for a machine whose link needs backlog to receive the
 // bodies that it has been promised, and pace for a KiB. Both are zero if the rate of the link is
@@ -26,7 +27,7 @@
 // reported load: it may have drained, or been refilled. A report that is forgotten says nothing of the
 // link, which may have been slow for a moment: while an instance is avoided, it sends no other report.
 func (r LoadReport) linkTime(size int, weight float64) time.Duration {
-	if size <= minPacedBody || weight == 0 {
+	if size <= MaxInlineBody || weight == 0 {
 		return 0
 	}
 	transfer := float64(r.linkPace) * float64(size) / 1024
