--- a/internal/platformhttp/response_test.go
+++ b/internal/platformhttp/response_test.go
@@ -1,41 +1,17 @@
 package platformhttp_test
 
 import (
-	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strconv"
-	"strings"
 	"testing"
 
-	"github.com/cockroachdb/datadriven"
-
 	"github.com/lycheehead/lycheehead/internal/platformhttp"
+	"github.com/lycheehead/lycheehead/internal/wirecheck/wiretest"
 )
 
 // TestMalformedResponse guards against a value that is read from a message which is not a valid
-// response (MIXED). Each line of the input is the beginning of a response whose body is valid.
+// response (MIXED).
 func TestMalformedResponse(t *testing.T) {
-	const body = `value`
-	datadriven.RunTest(t, "testdata/malformed", func(t *testing.T, d *datadriven.TestData) string {
-		var out strings.Builder
-		for line := range strings.SplitSeq(d.Input, "\n") {
-			head, err := strconv.Unquote(`"` + line + `"`)
-			if err != nil {
-				t.Fatalf("%s: %v", line, err)
-			}
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-				_ = c.Close()
-			}))
-			_, err = platformhttp.New([]string{strings.TrimPrefix(server.URL, "http://")}).Read(t.Context(), "k")
-			server.Close()
-			fmt.Fprintf(&out, "%s: read %t\n", line, err == nil)
-		}
-		return out.String()
+	wiretest.RunMalformed(t, `value`, func(t *testing.T, address string) error {
+		_, err := platformhttp.New([]string{address}).Read(t.Context(), "k")
+		return err
 	})
 }
