Flush the log again when a burst arrived during a write

Cause: the log's goroutine is woken when its buffer is half full. What arrived after it had taken the buffer, up to another half, stayed there until the next tick, so that the next burst found too little room. Change: after it was woken, the goroutine writes until an eighth of the buffer or less is left.

--- a/internal/logs/output_test.go
+++ b/internal/logs/output_test.go
@@ -82,7 +82,7 @@
 
 // TestOutput logs to an output that fails. The steps of a script are: log a number of lines,
 // room left on the disk in bytes, block and unblock writes,
-// flood with lines of 1 KB, pass time, close the writer with a
+// flood with lines of 1 KB, write a burst of such lines at once, pass time, close the writer with a
 // timeout, and print the state and the text of the output.
 func TestOutput(t *testing.T) {
 	datadriven.RunTest(t, "testdata/output", func(t *testing.T, d *datadriven.TestData) string {
@@ -103,6 +103,8 @@
 					for range mustAtoi(t, words[1]) {
 						_, _ = fmt.Fprintln(w, strings.Repeat("x", 1023))
 					}
+				case "burst":
+					_, _ = fmt.Fprint(w, strings.Repeat(strings.Repeat("x", 1023)+"\n", mustAtoi(t, words[1])))
 				case "long":
 					_, _ = fmt.Fprintln(w, strings.Repeat("x", mustAtoi(t, words[1])))
 				case "lengths":
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -11,7 +11,10 @@
 const (
 	// maxBufferBytes is the maximum size of the buffer.
 	maxBufferBytes = 256 << 10
-	flushInterval  = 250 * time.Millisecond
+	// maxRestBytes is the size up to which the buffer may be left to the next flush. Half of the
+	// buffer stays free for a burst.
+	maxRestBytes  = maxBufferBytes / 8
+	flushInterval = 250 * time.Millisecond
 	// Rate limits of the classes.
 	successLinesPerSecond     = 150
 	attemptLinesPerSecond     = 150
@@ -179,6 +182,10 @@
 			w.flush()
 		case <-w.halfFull:
 			w.flush()
+			// Lines that arrived during a long write may nearly fill the buffer again.
+			for w.buffered() > maxRestBytes {
+				w.flush()
+			}
 		case <-w.stop:
 			w.flush()
 			return
@@ -186,6 +193,13 @@
 	}
 }
 
+// buffered returns the size of the lines that have not been written.
+func (w *Writer) buffered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.buffer)
+}
+
 // flush writes out the buffer. A reader that does not read blocks only the goroutine of
 // the Writer. If the output has failed, the lines are dropped until it accepts a report.
 func (w *Writer) flush() {
