Split the link of bodies by topic

The type and its interface stay there; grants are in grant.go, the order and refusal of waiting bodies in order.go, and the observation of the rate in rate.go. Declarations are moved unchanged. The scripts of pkg/bandwidth pass without a changed line, also with -race and the lock order check.

--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -1,7 +1,6 @@
 package bandwidth
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -10,51 +9,11 @@
 )
 
 const (
-	// linkShare is the share of a link's rate that bodies may take. The rest is left for small
-	// messages, which otherwise wait behind one body after another.
-	linkShare = 0.85
-	// linkLead is how long before the end of a body the next one may be granted, so that the
-	// link is not idle while the next sender is asked for its body.
-	linkLead = 5 * time.Millisecond
-	// arrivalGrace is how long nothing more of a body may arrive, once it should have arrived
-	// whole, before the next one is granted beside it. It covers a round trip and the pauses of
-	// a machine with a fraction of a core. A longer one would let a sender that has stopped hold
-	// up the others.
-	arrivalGrace = 30 * time.Millisecond
-	// maxArrival is how many times the expected duration a body may hold up others while it
-	// arrives. The bodies over a slow link do not overlap then, and a sender that sends a few
-	// bytes at a time does not hold up the others for long.
-	maxArrival = 4
-	// maxUnrequested is the time that the link needs for the bodies that are granted but not
-	// requested yet, beyond which none is granted. These requests wait for a slot of the backend
-	// server, and all their bodies may be requested at the same time.
-	maxUnrequested = 200 * time.Millisecond
-	// maxRecordDebt is the time for which bytes that have arrived without a grant may delay the
-	// next grant. They compete only with the bodies that are under way.
-	maxRecordDebt = 200 * time.Millisecond
 	// A waiting body is reviewed at intervals between minLinkTick and maxLinkTick.
 	minLinkTick = time.Millisecond
 	maxLinkTick = 50 * time.Millisecond
-	// acceptShare is the share of the time that a body may wait that it is expected to wait at
-	// most when it is accepted. The rest absorbs errors of the estimate, so that few bodies are
-	// refused after they have waited.
-	acceptShare = 0.9
 	// UnknownSize is the size in bytes that a body of unknown length counts as.
 	UnknownSize = 1 << 20
-	// minSampleBytes is the number of bytes from which the duration of a transfer says
-	// something about the rate of the link: smaller ones mostly wait for round trips.
-	minSampleBytes = 32 << 10
-	// sampleTransfers is the number of overlapping transfers after which they are taken as one
-	// sample, although others are still under way.
-	sampleTransfers = 4
-	// rateSamples is the number of consecutive samples that must all be slow for the link to
-	// count as slower than configured. A slow sender makes only some of them slow.
-	rateSamples = 5
-	// slowShare is the share of the configured rate up to which a sample is slow.
-	slowShare = 0.5
-	// sampleTTL is how long samples are used. At a very low estimate no body is accepted, so
-	// that there are no new samples.
-	sampleTTL = 5 * time.Second
 )
 
 // State is the state of a body at a Link.
@@ -253,59 +212,6 @@
 	l.advance(now, nil)
 }
 
-// settle accounts for what a granted body has not used or used in addition, and observes the rate.
-func (l *Link) settle(now time.Time, e *Entry, received int) {
-	missing := e.transfer.size - received
-	switch {
-	case missing > 0:
-		l.counts.returned++
-		ahead := e.reserved.Add(e.cost).Sub(later(now, e.reserved))
-		unused := time.Duration(float64(e.cost) * float64(missing) / float64(e.transfer.size))
-		l.free = l.free.Add(-max(0, min(ahead, unused)))
-	case missing < 0:
-		l.record(now, -missing)
-	}
-	if e.requested.IsZero() {
-		return
-	}
-	l.receivedBytes += received
-	l.receivedBodies++
-	last := !slices.ContainsFunc(l.open, underWay)
-	if missing > 0 && last {
-		// The time for which the sender did not send says nothing about the link.
-		return
-	}
-	if last || l.receivedBodies >= sampleTransfers {
-		l.sample(now)
-	}
-}
-
-// sample observes the rate of the transfers since busySince.
-func (l *Link) sample(now time.Time) {
-	took := now.Sub(l.busySince)
-	if l.receivedBytes >= minSampleBytes && took > 0 {
-		if len(l.samples) == rateSamples {
-			l.samples = slices.Delete(l.samples, 0, 1)
-		}
-		l.samples = append(l.samples, float64(l.receivedBytes)/took.Seconds())
-		l.sampledAt = now
-	}
-	l.busySince, l.receivedBytes, l.receivedBodies = now, 0, 0
-	l.rate = l.configured
-	if len(l.samples) == rateSamples {
-		if fastest := slices.Max(l.samples); fastest <= l.configured*slowShare {
-			l.rate = fastest
-		}
-	}
-}
-
-func (l *Link) expireSamples(now time.Time) {
-	if now.Sub(l.sampledAt) > sampleTTL {
-		l.samples = nil
-		l.rate = l.configured
-	}
-}
-
 // Record records bytes that have arrived without a grant, such as small bodies, and bodies of the
 // machine's own callers.
 func (l *Link) Record(now time.Time, bytes int) {
@@ -317,13 +223,6 @@
 	l.record(now, bytes)
 }
 
-func (l *Link) record(now time.Time, bytes int) {
-	// The bytes have arrived by now, and have used what was free until now.
-	cost := l.cost(bytes)
-	end := later(l.free.Add(cost), now)
-	l.free = later(l.free, earlier(end, now.Add(maxRecordDebt)))
-}
-
 // Tick grants and refuses waiting bodies. It returns the time until the next call, or zero if
 // no body waits.
 func (l *Link) Tick(now time.Time) time.Duration {
@@ -393,183 +292,3 @@
 	defer l.mu.Unlock()
 	return l.counts
 }
-
-// advance refuses bodies that would arrive too late, and grants others. fresh is the body that
-// has just been submitted, or nil.
-func (l *Link) advance(now time.Time, fresh *Entry) {
-	l.sort(now)
-	l.refuseHopeless(now, fresh)
-	l.refuseLate(now, fresh)
-	for len(l.waiting) > 0 && l.mayGrant(now) {
-		first := l.waiting[0]
-		l.waiting = slices.Delete(l.waiting, 0, 1)
-		l.open = append(l.open, first)
-		l.grant(now, first)
-	}
-}
-
-func (l *Link) grant(now time.Time, e *Entry) {
-	e.reserved = later(now, l.free)
-	e.cost = l.cost(e.transfer.size)
-	l.free = e.reserved.Add(e.cost)
-	l.counts.granted++
-	e.decide(Granted)
-}
-
-// mayGrant reports whether the next body may be granted.
-func (l *Link) mayGrant(now time.Time) bool {
-	if l.free.After(now.Add(linkLead)) {
-		return false
-	}
-	var unrequested time.Duration
-	for _, e := range l.open {
-		switch {
-		case e.requested.IsZero():
-			unrequested += e.cost
-		case now.Before(l.overdueAt(e)):
-			return false
-		}
-	}
-	return unrequested == 0 || unrequested+l.cost(l.waiting[0].transfer.size) <= maxUnrequested
-}
-
-// overdueAt returns the time until which a body that is under way holds up others.
-func (l *Link) overdueAt(e *Entry) time.Time {
-	expected := later(e.requested.Add(e.cost), e.progressed).Add(arrivalGrace)
-	return earlier(expected, e.requested.Add(maxArrival*e.cost+arrivalGrace))
-}
-
-// underWay reports whether the body of an open entry has been requested.
-func underWay(e *Entry) bool { return !e.requested.IsZero() }
-
-// sort brings the waiting bodies into the order in which they are granted: those that can meet
-// their objective first.
-func (l *Link) sort(now time.Time) {
-	start := later(now, l.free)
-	for _, e := range l.waiting {
-		e.late = !e.transfer.priority.Nested() && !l.need(e).MeetsObjective(start)
-	}
-	slices.SortStableFunc(l.waiting, func(a, b *Entry) int {
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
-		}
-		return l.need(a).Compare(l.need(b))
-	})
-}
-
-// refuseHopeless refuses the bodies that would be too late even if they were granted next.
-func (l *Link) refuseHopeless(now time.Time, fresh *Entry) {
-	start := later(now, l.free)
-	for i := 0; i < len(l.waiting); {
-		if start.After(l.latestStart(l.waiting[i], fresh)) {
-			l.refuse(i, start.Sub(now))
-			continue
-		}
-		i++
-	}
-}
-
-// refuseLate refuses bodies until no other would be too late.
-func (l *Link) refuseLate(now time.Time, fresh *Entry) {
-	for {
-		start := later(now, l.free)
-		i := slices.IndexFunc(l.waiting, func(e *Entry) bool {
-			if start.After(l.latestStart(e, fresh)) {
-				return true
-			}
-			start = start.Add(l.cost(e.transfer.size))
-			return false
-		})
-		if i < 0 {
-			return
-		}
-		// A body that is late is no reason to refuse one that is not.
-		first := 0
-		if l.waiting[i].late {
-			first = slices.IndexFunc(l.waiting, func(e *Entry) bool { return e.late })
-		}
-		l.refuse(first+caller.Victim(l.waiting[first:i+1], l.need), start.Sub(now))
-	}
-}
-
-// refuse refuses the waiting body with the given index.
-func (l *Link) refuse(i int, wait time.Duration) {
-	e := l.waiting[i]
-	l.waiting = slices.Delete(l.waiting, i, i+1)
-	e.wait = wait
-	l.counts.refused++
-	e.decide(Refused)
-}
-
-// latestStart returns the time by which a body must be granted. A body is accepted if it is
-// expected to meet its objective, or to wait for a small part of the time to its deadline: a
-// longer queue would make all requests late without serving more of them. Once it has waited it
-// is kept up to its deadline.
-func (l *Link) latestStart(e, fresh *Entry) time.Time {
-	t := e.transfer
-	before := t.after + l.cost(t.size)
-	latest := t.deadline.Add(-before)
-	if e != fresh {
-		return latest
-	}
-	wait := latest.Sub(e.submitted)
-	if !t.priority.Nested() {
-		wait = min(wait, max(t.objective.Add(-before).Sub(e.submitted), time.Duration(float64(wait)*caller.LateWaitShare)))
-	}
-	if wait > 0 {
-		wait = time.Duration(float64(wait) * acceptShare)
-	}
-	return e.submitted.Add(wait)
-}
-
-// estimateWait estimates the time until a waiting body is granted.
-func (l *Link) estimateWait(now time.Time, e *Entry) time.Duration {
-	wait := later(now, l.free).Sub(now)
-	for _, o := range l.waiting {
-		if o == e {
-			break
-		}
-		wait += l.cost(o.transfer.size)
-	}
-	return wait
-}
-
-// need returns the need of a body of the link.
-func (l *Link) need(e *Entry) caller.Need {
-	t := e.transfer
-	return caller.NewNeed(t.priority, t.objective.Add(-t.after), t.deadline.Add(-t.after), l.cost(t.size))
-}
-
-// cost returns the time of the link that bytes take.
-func (l *Link) cost(bytes int) time.Duration {
-	if l.rate <= 0 {
-		return 0
-	}
-	return seconds(float64(bytes) / (l.rate * linkShare))
-}
-
-func (e *Entry) decide(s State) {
-	e.state = s
-	close(e.decided)
-}
-
-func seconds(s float64) time.Duration {
-	return time.Duration(min(s*float64(time.Second), math.MaxInt64/4))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.After(b) {
-		return b
-	}
-	return a
-}
