Let more urgent bodies overtake those that are granted and not requested

Cause: bodies that are granted and whose requests wait for a slot of the backend server count up to 200 ms of the link, so that three of 60 KB held up a more urgent one for as long as none of them had a slot. Change: less urgent ones are overtaken and the more urgent body is granted in their place. An overtaken body is requested when its request has a slot, if the bodies that are arriving leave room for it; otherwise the request waits with its slot, until its deadline at the latest. The time of the bodies that arrive together is bounded as before: 200 ms, or one body. Counts.Overtaken, the metric link_bodies_overtaken and the log line 'body overtaken' tell of it. The existing scripts change only by that count. Measured: in the script in testdata/link/order the more urgent body is granted at 200 ms, when it is submitted; without the change at 1252 ms.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -243,6 +243,10 @@
 	if err := a.connectFirst(ctx, &req.body); err != nil {
 		return a.handleSendError(ctx, time.Now(), req, decision.entry, err)
 	}
+	if r := a.awaitTurn(ctx, req); r != nil {
+		a.finish(time.Now(), decision.entry, backend.Cancelled)
+		return r
+	}
 	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), a.budget); err != nil {
 		a.finish(time.Now(), decision.entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "reading request body failed", req.id, "error", err.Error())
--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -79,6 +79,7 @@
 	gauge("link_bodies_delayed", float64(counts.Delayed()))
 	gauge("link_bodies_refused", float64(counts.Refused()))
 	gauge("link_bodies_missing", float64(counts.Returned()))
+	gauge("link_bodies_overtaken", float64(counts.Overtaken()))
 }
 
 // recordReads returns a body that records what is read of it.
@@ -131,16 +132,27 @@
 	length int64
 	// entry is the body's entry at the link, nil if it does not wait for a grant.
 	entry    *bandwidth.Entry
-	begun    bool
 	received atomic.Int64
 }
 
+// begin records that the body is requested. If more urgent bodies have overtaken it, begin first
+// waits until they have arrived. It returns false if ctx ends before.
+func (f *inflow) begin(ctx context.Context) bool {
+	turn := f.pacer.link.Begin(time.Now(), f.entry)
+	if turn == nil {
+		return true
+	}
+	f.pacer.tick(time.Now())
+	select {
+	case <-turn:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Read implements io.Reader.
 func (f *inflow) Read(p []byte) (int, error) {
-	if f.entry != nil && !f.begun {
-		f.begun = true
-		f.pacer.link.Begin(time.Now(), f.entry)
-	}
 	n, err := f.src.Read(p)
 	received := f.received.Add(int64(n))
 	switch {
@@ -219,6 +231,27 @@
 	return r
 }
 
+// awaitTurn waits until the body of a request that has a slot may be requested, unless it need not
+// wait for the link. It returns the refusal if that is not so before the deadline.
+func (a *admission) awaitTurn(ctx context.Context, req *request) *result {
+	f := req.body.inflow
+	if f == nil || f.entry == nil {
+		return nil
+	}
+	begin := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(-req.suspended.Elapsed()))
+	defer cancel()
+	requested := f.begin(ctx)
+	if waited := time.Since(begin); waited > time.Millisecond {
+		a.events.request(logs.Success, "body overtaken", req.id, "route", req.route, "bytes", req.body.length, "waited", waited.String(),
+			"requested", requested)
+	}
+	if requested {
+		return nil
+	}
+	return notRun(contextReason(ctx))
+}
+
 // submitBody submits the body of a request to the link, unless the request is refused anyway.
 func (a *admission) submitBody(now time.Time, req *request, instance string, redirectable bool) linkDecision {
 	id, reason := a.check(now, req, instance)
--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -67,6 +67,10 @@
 	// requested is the time at which the body was requested, zero if it was not, and progressed
 	// the last time at which a part of it arrived.
 	requested, progressed time.Time
+	// overtaken states that more urgent bodies were granted in place of this one, which is granted
+	// and not requested yet. turn is closed once it is requested, nil unless that has to wait.
+	overtaken bool
+	turn      chan struct{}
 }
 
 // Decided returns a channel that is closed once the body no longer waits. Then Link.State
@@ -109,7 +113,7 @@
 
 // Counts counts the decisions of a Link.
 type Counts struct {
-	granted, delayed, refused, returned int64
+	granted, delayed, refused, returned, overtaken int64
 }
 
 // Granted returns the number of bodies that were granted.
@@ -124,6 +128,10 @@
 // Returned returns the number of bodies that did not arrive after they had been granted.
 func (c Counts) Returned() int64 { return c.returned }
 
+// Overtaken returns how many times a body that was granted and not requested yet gave way to
+// another one.
+func (c Counts) Overtaken() int64 { return c.overtaken }
+
 // NewLink returns a link that receives rate bytes per second. A rate of 0 means that it is
 // unlimited: every body is granted at once.
 func NewLink(rate float64) *Link {
@@ -167,20 +175,23 @@
 }
 
 // Begin records that the body of a granted entry is requested from its sender. If the time
-// that was reserved for it has passed, the body takes time of the link once more.
-func (l *Link) Begin(now time.Time, e *Entry) {
+// that was reserved for it has passed, the body takes time of the link once more. If more urgent
+// bodies have overtaken it, it may have to wait until they have arrived: then Begin returns a
+// channel that is closed once the body is to be requested, and the caller calls Tick meanwhile.
+func (l *Link) Begin(now time.Time, e *Entry) (turn <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e.state != Granted || !e.requested.IsZero() || !l.Limited() {
-		return
+	if e.state != Granted || underWay(e) || !l.Limited() {
+		return nil
 	}
-	if !slices.ContainsFunc(l.open, underWay) {
-		l.busySince, l.receivedBytes, l.receivedBodies = now, 0, 0
+	if !e.overtaken {
+		l.request(now, e)
+		return nil
 	}
-	e.requested = now
-	if missed := min(now.Sub(e.reserved), e.cost); missed > linkLead {
-		l.free = later(now, l.free).Add(missed)
+	if e.turn == nil && !l.takeTurn(now, e) {
+		e.turn = make(chan struct{})
 	}
+	return e.turn
 }
 
 // Progress records that a further part of the body of an entry has arrived.
@@ -223,13 +234,13 @@
 	l.record(now, bytes)
 }
 
-// Tick grants and refuses waiting bodies. It returns the time until the next call, or zero if
-// no body waits.
+// Tick grants and refuses waiting bodies, and resumes overtaken ones. It returns the time until the
+// next call, or zero if no body waits.
 func (l *Link) Tick(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now, nil)
-	if len(l.waiting) == 0 {
+	if len(l.waiting) == 0 && !slices.ContainsFunc(l.open, awaitsTurn) {
 		return 0
 	}
 	next := l.free.Add(-linkLead).Sub(now)
--- a/pkg/bandwidth/link_test.go
+++ b/pkg/bandwidth/link_test.go
@@ -30,7 +30,7 @@
 //	submit NAME BYTES RANK OBJECTIVE DEADLINE AFTER [elsewhere|call]
 //	begin NAME, progress NAME, end NAME BYTES, record BYTES, after DURATION
 //
-// After each line, it prints the entries whose state has changed, and with "show" the backlog,
+// After each line, it prints the entries whose state has changed or whose turn has come, and with "show" the backlog,
 // the pace and the counts.
 func runSteps(t *testing.T, d *datadriven.TestData) string {
 	var mbit float64
@@ -40,8 +40,19 @@
 	now := start
 	entries := make(map[string]*bandwidth.Entry)
 	states := make(map[string]string)
+	turns := make(map[string]<-chan struct{})
 	var names []string
 	var out strings.Builder
+	reportTurns := func() {
+		for _, name := range names {
+			select {
+			case <-turns[name]:
+				delete(turns, name)
+				fmt.Fprintf(&out, "%s: %s requested\n", now.Sub(start), name)
+			default:
+			}
+		}
+	}
 	report := func() {
 		for _, name := range names {
 			state, wait := link.State(entries[name])
@@ -54,6 +65,7 @@
 				fmt.Fprintf(&out, "%s: %s %s\n", now.Sub(start), name, text)
 			}
 		}
+		reportTurns()
 	}
 	for line := range strings.SplitSeq(d.Input, "\n") {
 		f := strings.Fields(line)
@@ -65,7 +77,10 @@
 			names = append(names, f[1])
 			entries[f[1]], _, _ = link.Submit(now, transfer)
 		case "begin":
-			link.Begin(now, entries[f[1]])
+			if turn := link.Begin(now, entries[f[1]]); turn != nil {
+				turns[f[1]] = turn
+				fmt.Fprintf(&out, "%s: %s waits for its turn\n", now.Sub(start), f[1])
+			}
 		case "progress":
 			link.Progress(now, entries[f[1]])
 		case "end":
@@ -79,8 +94,8 @@
 			}
 		case "show":
 			c := link.Counts()
-			fmt.Fprintf(&out, "%s: backlog %s, pace %s, granted %d, delayed %d, refused %d, returned %d\n", now.Sub(start),
-				link.Backlog(now).Round(time.Millisecond), link.Pace().Round(time.Microsecond), c.Granted(), c.Delayed(), c.Refused(), c.Returned())
+			fmt.Fprintf(&out, "%s: backlog %s, pace %s, granted %d, delayed %d, refused %d, returned %d, overtaken %d\n", now.Sub(start),
+				link.Backlog(now).Round(time.Millisecond), link.Pace().Round(time.Microsecond), c.Granted(), c.Delayed(), c.Refused(), c.Returned(), c.Overtaken())
 		default:
 			t.Fatalf("unknown line %q", line)
 		}
