Adopt other content of a version that the restored store has lost

A store that was restored had lost version N, and operators wrote version N with other content into it. Daemons that held the first content ignored the second one, because its number was not higher, and took the version for present in the store. Daemons that started later had the second one, and no daemon told another that they differed.

The configuration in force now has the last position at which the store had it. A higher version replaces it, and so does other content of the same version at a later position. Messages say where the store had a lost version (lost_era, lost_revision), so that of two lost contents the later one holds at all daemons. Daemons of earlier versions do not send these fields; their content counts as the earliest. The rule holds in eras above 0 only: a store without eras loses nothing.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
@@ -39,6 +40,7 @@
 	if s.replica.Leftovers() > 0 || len(s.heldChanges) > 0 {
 		time.AfterFunc(drainHold, func() { s.events.protect(func() { s.expireEra(time.Now()) }) })
 	}
+	changed = s.withConfig(changed)
 	s.applyItems(now, changed)
 	if len(changed) == 0 {
 		// The other daemons have to learn of the era.
@@ -126,35 +128,67 @@
 	})
 }
 
-// lostConfig is the configuration in force if the store has only an older one in this era.
-type lostConfig struct {
+// storedConfig is a configuration as the store had it.
+type storedConfig struct {
 	item    replica.Item
 	version uint64
+	// at is the last position at which the store is known to have had it.
+	at replica.Position
 }
 
-// trackConfig records the item of the configuration in force after a change has been applied, and
-// the era in which the store had it. The caller holds applyMu.
-func (s *fleetState) trackConfig(i replica.Item, c Change, era uint64) {
-	if published, ok := c.(configChange); ok && s.config.Load().Version() == published.config.Version() {
-		s.configItem, s.configEra = i, era
+// supersedes reports whether a configuration replaces another one: it has a higher version, or
+// the same version with other content and the store had it later. A store that was restored may
+// be given another content of a version that it has lost, and what it has is what daemons that
+// start get. A store without eras has lost nothing, so that its first content of a version holds.
+func (c storedConfig) supersedes(old storedConfig) bool {
+	if c.version != old.version {
+		return c.version > old.version
+	}
+	return c.at.Era() > 0 && old.at.Before(c.at)
+}
+
+func (c storedConfig) sameContent(other storedConfig) bool {
+	return c.version == other.version && bytes.Equal(c.item.Value(), other.item.Value())
+}
+
+// recordConfig records that the store had the configuration in force at a position. The caller
+// holds applyMu.
+func (s *fleetState) recordConfig(at replica.Position) {
+	s.configEra = at.Era()
+	if s.configSource.at.Before(at) {
+		s.configSource.at = at
 	}
 }
 
 // reviewConfig determines whether the store has lost the configuration in force. The caller holds
 // applyMu.
 func (s *fleetState) reviewConfig() {
-	cfg, era := s.config.Load(), s.replica.Position().Era()
-	if cfg == nil {
+	if s.config.Load() == nil {
 		return
 	}
-	if i, ok := s.replica.Get(s.configItem.Key()); ok && bytes.Equal(i.Value(), s.configItem.Value()) {
-		s.configEra = era
+	era := s.replica.Position().Era()
+	if i, ok := s.replica.Get(s.configSource.item.Key()); ok && bytes.Equal(i.Value(), s.configSource.item.Value()) {
+		s.recordConfig(replica.NewPosition(era, i.Revision()))
 	}
 	if s.configEra == era {
 		s.lostConfig.Store(nil)
 		return
 	}
-	s.lostConfig.Store(&lostConfig{item: s.configItem, version: cfg.Version()})
+	lost := s.configSource
+	s.lostConfig.Store(&lost)
+}
+
+// withConfig adds the configuration of a new era to its changes if it is not one, but has another
+// value than the configuration in force, which may have come from another daemon. The caller holds
+// applyMu.
+func (s *fleetState) withConfig(changed []replica.Item) []replica.Item {
+	key := s.configSource.item.Key()
+	i, ok := s.replica.Get(key)
+	if !ok || bytes.Equal(i.Value(), s.configSource.item.Value()) ||
+		slices.ContainsFunc(changed, func(c replica.Item) bool { return c.Key() == key }) {
+		return changed
+	}
+	return append(changed, i)
 }
 
 // version returns the configuration version in force, or 0 if there is none.
@@ -165,45 +199,67 @@
 	return 0
 }
 
+// lacksConfig reports whether another daemon has a configuration that replaces the one in force.
+func (s *fleetState) lacksConfig(c storedConfig) bool {
+	if c.version < s.version() {
+		return false
+	}
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	return c.supersedes(s.configSource)
+}
+
 // receiveLostConfig applies a configuration that the store has lost, or asks the sender for it if
-// it only says that it has one. Versions increase over all eras, so that the higher one holds.
+// it only says that it has one. Versions increase over all eras, so that the higher one holds, and
+// of one version the content that the store had last.
 func (g *gossiper) receiveLostConfig(now time.Time, m *schema.Exchange) {
+	lost := storedConfig{version: m.GetLostVersion(), at: replica.NewPosition(m.GetLostEra(), m.GetLostRevision())}
 	if m.HasConfig() {
 		i := m.GetConfig()
-		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), m.GetFrom()) {
+		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), lost.at.Era(), m.GetFrom()) {
 			g.recheckPeers(m.GetFrom())
 		}
 		return
 	}
-	if m.GetLostVersion() <= g.version() || !g.fetchingConfig.CompareAndSwap(false, true) {
+	if lost.version == 0 || !g.lacksConfig(lost) || !g.fetchingConfig.CompareAndSwap(false, true) {
 		return
 	}
 	g.events.spawn(func() {
 		defer g.fetchingConfig.Store(false)
 		request := g.newMessage()
-		request.SetConfigAbove(g.version())
+		request.SetConfigAbove(lost.version - 1)
 		answer, err := g.peers.exchange(g.ctx, m.GetFrom(), pushTimeout, request)
 		if err != nil {
-			g.events.stateChange("lost configuration not received", "from", m.GetFrom(), "version", m.GetLostVersion(), "error", err.Error())
+			g.events.stateChange("lost configuration not received", "from", m.GetFrom(), "version", lost.version, "error", err.Error())
 			return
 		}
 		g.receive(time.Now(), answer)
 	})
 }
 
-// applyLostConfig applies a configuration that the store has lost, and reports whether it is newer
-// than the one in force. It is not merged into the replica, as the store does not have it.
-func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, from string) bool {
+// applyLostConfig applies a configuration that the store had in an era and has lost, and reports
+// whether it replaces the one in force. It is not merged into the replica, as the store does not
+// have it.
+func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, era uint64, from string) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	c, err := s.decode(i)
 	published, ok := c.(configChange)
-	if err != nil || !ok || published.config.Version() <= s.version() {
+	if err != nil || !ok {
+		return false
+	}
+	next := storedConfig{item: i, version: published.config.Version(), at: replica.NewPosition(era, i.Revision())}
+	if !next.supersedes(s.configSource) {
+		return false
+	}
+	if next.sameContent(s.configSource) {
+		s.configSource.at = next.at
+		s.reviewConfig()
 		return false
 	}
-	s.events.stateChange("configuration that the store has lost received", "version", published.config.Version(), "from", from)
-	published.apply(now, s)
-	s.trackConfig(i, c, noEra)
+	s.events.stateChange("configuration that the store has lost received", "version", next.version, "at", next.at.String(), "from", from)
+	published.apply(now, s, i, era)
+	s.configEra = noEra
 	s.reviewConfig()
 	s.onChange(now)
 	return true
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -22,11 +22,18 @@
 	m.SetLeaving(g.watcher.leaving.Load())
 	m.SetReading(g.watcher.reading.Load())
 	if lost := g.lostConfig.Load(); lost != nil {
-		m.SetLostVersion(lost.version)
+		setLost(m, lost)
 	}
 	return m
 }
 
+// setLost sets the version in force that the store has lost, and where the store had it.
+func setLost(m *schema.Exchange, c *storedConfig) {
+	m.SetLostVersion(c.version)
+	m.SetLostEra(c.at.Era())
+	m.SetLostRevision(c.at.Revision())
+}
+
 // setPosition sets the position up to which this daemon has all changes. It sets the era also
 // where it is 0, which shows that this daemon knows of eras.
 func setPosition(m *schema.Exchange, p replica.Position) {
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -30,12 +30,12 @@
 	// heldChanges holds the instances that a new era shows as ready although they were
 	// draining, by key, guarded by applyMu.
 	heldChanges map[string]heldChange
-	// configItem is the item of the configuration in force, and configEra the latest era in
-	// which the store had it, guarded by applyMu. lostConfig is the configuration in force if
-	// the store has only an older one in this era, or nil.
-	configItem replica.Item
-	configEra  uint64
-	lostConfig atomic.Pointer[lostConfig]
+	// configSource is where the configuration in force comes from, and configEra the latest era
+	// in which this daemon saw it in the store, guarded by applyMu. lostConfig is configSource if
+	// the store has only an older configuration in this era, or nil.
+	configSource storedConfig
+	configEra    uint64
+	lostConfig   atomic.Pointer[storedConfig]
 	// rejectedItems counts the items that could not be decoded.
 	rejectedItems atomic.Int64
 	// onChange is called with applyMu held after changes were applied.
@@ -79,8 +79,7 @@
 			s.rejectedItems.Add(1)
 		}
 		if c != nil {
-			c.apply(now, s)
-			s.trackConfig(i, c, s.replica.Position().Era())
+			c.apply(now, s, i, s.replica.Position().Era())
 		}
 	}
 	s.reviewConfig()
@@ -101,15 +100,22 @@
 	return s.decoder.Decode(i) //nolint:wrapcheck // logged with the item
 }
 
-func (c configChange) apply(_ time.Time, s *fleetState) {
+func (c configChange) apply(_ time.Time, s *fleetState, i replica.Item, era uint64) {
 	old := s.config.Load()
-	if old != nil && old.Version() >= c.config.Version() {
-		s.events.stateChange("older configuration version ignored", "version", c.config.Version(), "held", old.Version())
+	next := storedConfig{item: i, version: c.config.Version(), at: replica.NewPosition(era, i.Revision())}
+	if old != nil && next.sameContent(s.configSource) {
+		s.recordConfig(next.at)
 		return
 	}
+	if old != nil && !next.supersedes(s.configSource) {
+		s.events.stateChange("older configuration version ignored", "version", next.version, "at", next.at.String(),
+			"held", old.Version(), "held at", s.configSource.at.String())
+		return
+	}
+	s.configSource, s.configEra = next, era
 	s.config.Store(c.config)
 	s.fleet.SetServices(c.config.ServiceNames())
-	s.events.stateChange("configuration version applied", "version", c.config.Version(),
+	s.events.stateChange("configuration version applied", "version", next.version, "at", next.at.String(),
 		"routes", c.config.RouteCount(), "customers", c.config.CustomerCount())
 	if old != nil {
 		s.logCustomerChanges(old, c.config)
@@ -138,7 +144,7 @@
 	}
 }
 
-func (c instanceChange) apply(now time.Time, s *fleetState) {
+func (c instanceChange) apply(now time.Time, s *fleetState, _ replica.Item, _ uint64) {
 	old, _, ok := s.fleet.Get(now, c.instance.ID())
 	s.fleet.Put(c.instance)
 	if !ok || !old.SameIncarnation(c.instance) || old.Draining() != c.instance.Draining() {
@@ -147,13 +153,13 @@
 	}
 }
 
-func (c removalChange) apply(now time.Time, s *fleetState) {
+func (c removalChange) apply(now time.Time, s *fleetState, _ replica.Item, _ uint64) {
 	if s.fleet.Remove(now, c.id) {
 		s.events.stateChange("instance removed", "instance", c.id)
 	}
 }
 
-func (c evacuationChange) apply(now time.Time, s *fleetState) {
+func (c evacuationChange) apply(now time.Time, s *fleetState, _ replica.Item, _ uint64) {
 	s.fleet.SetEvacuated(now, c.centre, c.evacuated)
 	s.events.stateChange("evacuation state changed", "centre", c.centre, "out", c.evacuated)
 }
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -148,6 +148,7 @@
 		answer.SetDaemons(daemons)
 	}
 	if lost := g.lostConfig.Load(); lost != nil && m.HasConfigAbove() && m.GetConfigAbove() < lost.version {
+		setLost(answer, lost)
 		answer.SetConfig(messageItems([]replica.Item{lost.item})[0])
 	}
 	answer.SetShares(g.limiter.renewLeases(now, m))
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -125,7 +125,8 @@
 
 // Change is a decoded change of the store's content.
 type Change interface {
-	apply(now time.Time, s *fleetState)
+	// apply applies the change that an item of an era describes. The caller holds applyMu.
+	apply(now time.Time, s *fleetState, i replica.Item, era uint64)
 }
 
 type configChange struct{ config *operator.Config }
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -103,12 +103,15 @@
 	m.SetRevision(uint64(atoi(t, revision)))
 	for _, arg := range args {
 		after, isAfter := strings.CutPrefix(arg, "after=")
+		lost, isLost := strings.CutPrefix(arg, "lost=")
 		switch {
 		case arg == "want":
 			m.SetWant(true)
 		case arg == "whole":
 			m.SetWhole(true)
 			m.SetAfter(0)
+		case isLost:
+			setLostConfig(t, m, lost)
 		case isAfter:
 			m.SetAfter(uint64(atoi(t, after)))
 		default:
@@ -125,6 +128,17 @@
 		to.gossiper.age(time.Now()) == 0, to.gossiper.earlierEraMessages.Load())
 }
 
+// setLostConfig adds a configuration that the store has lost, VERSION+CONTENT@ERA/REVISION.
+func setLostConfig(t *testing.T, m *schema.Exchange, text string) {
+	value, position, _ := strings.Cut(text, "@")
+	version, content, _ := strings.Cut(value, "+")
+	era, revision, _ := strings.Cut(position, "/")
+	m.SetLostVersion(uint64(atoi(t, version)))
+	m.SetLostEra(uint64(atoi(t, era)))
+	m.SetLostRevision(uint64(atoi(t, revision)))
+	m.SetConfig(messageItems([]replica.Item{replica.NewItem("c/config", []byte(version+" "+content), m.GetLostRevision())})[0])
+}
+
 // transmit waits until the link of a daemon has sent a message, which waits behind those that
 // were sent before. The bytes of a message whose sender has given up are sent all the same.
 func (n *testNet) transmit(ctx context.Context, from *testNode, size int) {
@@ -245,7 +259,8 @@
 }
 
 // Decode implements Decoder. The key i/NAME is an instance, c/N a configuration
-// version, c/config one whose value is its number, and c/evacuate-CENTRE an evacuation.
+// version, c/config one whose value is its number and its content, if any, and
+// c/evacuate-CENTRE an evacuation.
 func (node *testNode) Decode(i replica.Item) (Change, error) {
 	node.net.mu.Lock()
 	node.receivedAt[i.Key()] = time.Now()
@@ -257,8 +272,12 @@
 	if kind == "c" && i.Removed() {
 		return nil, nil //nolint:nilnil // as the decoder of the platform
 	}
+	content := "health"
 	if name == "config" {
-		name = string(i.Value())
+		var other string
+		if name, other, _ = strings.Cut(string(i.Value()), " "); other != "" {
+			content = other
+		}
 	}
 	if kind == "c" {
 		n, err := strconv.ParseUint(name, 10, 64)
@@ -266,7 +285,7 @@
 			return nil, err
 		}
 		b := operator.NewBuilder(n)
-		b.AddService(operator.NewService(testService, "/health", 0))
+		b.AddService(operator.NewService(testService, "/"+content, 0))
 		b.AddCustomer(operator.NewCustomer(testCustomer, nil, 0, float64(node.net.rate), float64(node.net.burst)))
 		cfg, err := b.Build()
 		return NewConfigChange(cfg), err
@@ -275,8 +294,17 @@
 		return NewRemovalChange(name), nil
 	}
 	f := strings.Fields(string(i.Value()))
-	draining := len(f) > 3
-	return NewInstanceChange(fleet.NewInstance(name, f[2], f[1], fleet.NewAddress(f[0], 80), time.Unix(0, 0)).WithState(draining, 0)), nil
+	var draining bool
+	var start int64
+	if len(f) > 3 {
+		if draining = f[3] == "draining"; !draining {
+			var err error
+			if start, err = strconv.ParseInt(f[3], 10, 64); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return NewInstanceChange(fleet.NewInstance(name, f[2], f[1], fleet.NewAddress(f[0], 80), time.Unix(start, 0)).WithState(draining, 0)), nil
 }
 
 // List implements Source.
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -211,7 +211,7 @@
 			break
 		}
 		n.store.setUnavailable(step[1] == "away")
-	case "message": // message TO FROM ERA/REVISION [after=N|whole|want] KEY=VALUE@REVISION...: prints the answer
+	case "message": // message TO FROM ERA/REVISION [after=N|whole|want|lost=VERSION+CONTENT@ERA/REVISION] KEY=VALUE@REVISION...: prints the answer
 		return n.sendMessage(t, n.nodes[step[1]], n.nodes[step[2]], step[3], step[4:])
 	case "restore": // restore D: the store comes back from a copy that is D old
 		n.store.setUnavailable(false)
@@ -224,10 +224,12 @@
 		forEach(func(node *testNode) { node.readsOldCopy = step[0] == "oldcopy" })
 	case "failing": // failing PREFIX: lists of PREFIX fail, or none if it is none
 		n.store.fail(strings.TrimPrefix(step[1], "none"))
-	case "config": // config N: version N, under the same key as the others
-		n.store.put("c/config", step[1], false)
-	case "enter": // enter ID NAME: another instance beside a daemon
-		n.store.put("i/"+step[1], n.nodes[step[2]].entry(), false)
+	case "config": // config N [CONTENT]: version N, under the same key as the others
+		n.store.put("c/config", strings.Join(step[1:], " "), false)
+	case "enter": // enter ID NAME [START]: another instance beside a daemon, started at a Unix time
+		n.store.put("i/"+step[1], strings.Join(append([]string{n.nodes[step[2]].entry()}, step[3:]...), " "), false)
+	case "exit": // exit ID: the entry of an instance is removed
+		n.store.put("i/"+step[1], "", true)
 	case "usable": // usable ID: which daemons do not use an instance
 		return n.listNodes(func(node *testNode) bool {
 			_, usable, _ := node.gossiper.fleet.Get(time.Now(), step[1])
@@ -247,6 +249,15 @@
 			cfg := node.gossiper.config.Load()
 			return cfg == nil || cfg.Version() != uint64(atoi(t, step[1]))
 		})
+	case "contents": // contents CONTENT: which daemons have a version with other content in force
+		return n.listNodes(func(node *testNode) bool {
+			cfg := node.gossiper.config.Load()
+			if cfg == nil {
+				return true
+			}
+			s, _ := cfg.Service(testService)
+			return s.HealthPath() != "/"+step[1]
+		})
 	case "evacuated": // evacuated CENTRE: which daemons hold that it is in service
 		return n.listNodes(func(node *testNode) bool { return !node.gossiper.fleet.Evacuated(step[1]) })
 	case "compact": // compact PREFIX: watches fail with a discarded history, and lists of PREFIX
