Keep removed instances unused when a restored store has them again

A backend server whose entry was removed after the copy was taken is in the restored store again. The list of the new era replaced the replica and its tombstones, so that all daemons published the instance and sent requests to it until the entry was removed once more (up to two seconds, or longer where the store has to remove it because nobody renews it).

A daemon that has seen the removal now holds the entry for ten seconds, as it does for two seconds with an instance that was draining. The entry is applied at once if it is written in the new era: by another run of the server, after the list, or at a revision above that of the removal, which the copy cannot have. It is applied, too, if the removal may be due to an outage of the store. After ten seconds an entry that is still there is taken for renewed, so that a server that has returned with the same start and address is not avoided for ever. The check for draining instances now also compares the start. The log line is 'instance stays unused in new era'.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -9,15 +9,27 @@
 	"github.com/lycheehead/lycheehead/pkg/replica"
 )
 
-// drainHold is how long an instance that was draining stays so if the list of a new era shows it
-// as ready. Its backend server writes its entry again within this time; until then the older
-// entry would attract requests to a server that is about to stop.
-const drainHold = 2 * time.Second
+const (
+	// drainHold is how long an instance that was draining stays so if the list of a new era shows
+	// it as ready. Its backend server writes its entry again within this time; until then the older
+	// entry would attract requests to a server that is about to stop.
+	drainHold = 2 * time.Second
+	// removedHold is how long an instance stays removed if its entry was, and the list of a new era
+	// shows it again. Whoever removed it does so again within two seconds. Where the store did so,
+	// because the entry was not renewed, it does so again after a time that daemons do not know,
+	// but which is longer than outageThreshold. An entry that remains is taken for renewed.
+	removedHold = 10 * time.Second
+)
 
 // heldChange is an instance of a new era's list that is not applied before a time.
 type heldChange struct {
-	item  replica.Item
-	until time.Time
+	item   replica.Item
+	until  time.Time
+	length time.Duration
+}
+
+func newHeldChange(i replica.Item, now time.Time, length time.Duration) heldChange {
+	return heldChange{item: i, until: now.Add(length), length: length}
 }
 
 // replaceAll merges a list of all items as of a position and applies those that are new. from
@@ -26,6 +38,10 @@
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	before := s.replica.Position()
+	var removals map[string]uint64
+	if before.Era() < at.Era() {
+		removals = s.removals(items)
+	}
 	changed, newEra := s.replica.ReplaceAll(now, items, at)
 	if !newEra {
 		s.applyItems(now, changed)
@@ -33,13 +49,11 @@
 	}
 	if before != (replica.Position{}) {
 		s.extendHolds(now)
-		changed = s.holdDraining(now, changed)
+		changed = s.holdStopped(now, changed, removals)
 		s.events.stateChange("store restored, new era adopted", "from", before.String(), "to", at.String(), "source", from,
 			"items", len(items), "changed", len(changed), "missing", s.replica.Leftovers(), "held", len(s.heldChanges))
 	}
-	if s.replica.Leftovers() > 0 || len(s.heldChanges) > 0 {
-		time.AfterFunc(drainHold, func() { s.events.protect(func() { s.expireEra(time.Now()) }) })
-	}
+	s.scheduleExpiry()
 	changed = s.withConfig(changed)
 	s.applyItems(now, changed)
 	if len(changed) == 0 {
@@ -48,36 +62,88 @@
 	}
 }
 
+// scheduleExpiry calls expireEra whenever something that is in force from an earlier era, or is
+// held, may end. The caller holds applyMu.
+func (s *fleetState) scheduleExpiry() {
+	lengths := make(map[time.Duration]bool)
+	if s.replica.Leftovers() > 0 {
+		lengths[drainHold] = true
+	}
+	for _, h := range s.heldChanges {
+		lengths[h.length] = true
+	}
+	for length := range lengths {
+		time.AfterFunc(length, func() { s.events.protect(func() { s.expireEra(time.Now()) }) })
+	}
+}
+
+// removals returns the revisions at which those of the listed items were removed that the replica
+// has tombstones of, by key.
+func (s *fleetState) removals(items []replica.Item) map[string]uint64 {
+	revisions := make(map[string]uint64)
+	for _, i := range items {
+		if revision, ok := s.replica.Removal(i.Key()); ok {
+			revisions[i.Key()] = revision
+		}
+	}
+	return revisions
+}
+
 // extendHolds extends what is held from the era before, since writers need their time again. The
 // caller holds applyMu.
 func (s *fleetState) extendHolds(now time.Time) {
-	for key := range s.heldChanges {
+	for key, h := range s.heldChanges {
 		if i, ok := s.replica.Get(key); ok {
-			s.heldChanges[key] = heldChange{item: i, until: now.Add(drainHold)}
+			s.heldChanges[key] = newHeldChange(i, now, h.length)
 		} else {
 			delete(s.heldChanges, key)
 		}
 	}
 }
 
-// holdDraining removes from the changes of a new era those that would make a draining instance
-// usable again, and holds them. The caller holds applyMu.
-func (s *fleetState) holdDraining(now time.Time, changed []replica.Item) (rest []replica.Item) {
+// holdStopped removes from the changes of a new era those that would make an instance usable again
+// that was draining or has left, and holds them. removals holds the revisions at which items were
+// removed. The caller holds applyMu.
+func (s *fleetState) holdStopped(now time.Time, changed []replica.Item, removals map[string]uint64) (rest []replica.Item) {
 	for _, i := range changed {
-		c, err := s.decode(i)
-		if published, ok := c.(instanceChange); ok && err == nil {
-			old, _, known := s.fleet.Get(now, published.instance.ID())
-			if known && old.Draining() && !published.instance.Draining() {
-				s.heldChanges[i.Key()] = heldChange{item: i, until: now.Add(drainHold)}
-				s.events.stateChange("instance stays draining in new era", "instance", old.ID())
-				continue
-			}
+		length := s.holdLength(now, i, removals)
+		if length == 0 {
+			delete(s.heldChanges, i.Key())
+			rest = append(rest, i)
+			continue
 		}
-		rest = append(rest, i)
+		s.heldChanges[i.Key()] = newHeldChange(i, now, length)
+		s.events.stateChange("instance stays unused in new era", "key", i.Key(), "at", i.Revision(), "for", length.String())
 	}
 	return rest
 }
 
+// holdLength returns how long an item of a new era's list is held, or 0 if it is not: it is no
+// instance, one that may have been used up to now, or another run of a backend server. An entry
+// with a higher revision than the removal has been written in the new era, since the copy ends
+// before the removal.
+func (s *fleetState) holdLength(now time.Time, i replica.Item, removals map[string]uint64) time.Duration {
+	c, err := s.decode(i)
+	published, ok := c.(instanceChange)
+	if err != nil || !ok || published.instance.Draining() {
+		return 0
+	}
+	old, _, known := s.fleet.Get(now, published.instance.ID())
+	removedAt, removed := removals[i.Key()]
+	switch {
+	case !known || !old.SameIncarnation(published.instance):
+		return 0
+	case s.fleet.Left(old.ID()):
+		if removed && i.Revision() > removedAt {
+			return 0
+		}
+		return removedHold
+	case old.Draining():
+		return drainHold
+	}
+	return 0
+}
+
 // expireEra ends the time in which items of an earlier era stay in force although the store
 // lacks them, and applies what was held for this time and has not been written since.
 func (s *fleetState) expireEra(now time.Time) {
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -28,7 +28,7 @@
 	confirmedAt atomic.Int64
 	startedAt   time.Time
 	// heldChanges holds the instances that a new era shows as ready although they were
-	// draining, by key, guarded by applyMu.
+	// draining or had been removed, by key, guarded by applyMu.
 	heldChanges map[string]heldChange
 	// configSource is where the configuration in force comes from, and configEra the latest era
 	// in which this daemon saw it in the store, guarded by applyMu. lostConfig is configSource if
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -31,6 +31,8 @@
 	removedAt time.Time
 	// usableUntil is when an instance whose entry vanished becomes unusable.
 	usableUntil time.Time
+	// expired states that the entry may have vanished because the store was unavailable.
+	expired bool
 }
 
 func (r record) usable(now time.Time) bool {
@@ -106,6 +108,7 @@
 	r.usableUntil = now.Add(vanishedGrace)
 	if now.Sub(f.storeUnavailableAt) < expiryWindow {
 		r.usableUntil = f.storeUnavailableAt.Add(outageGrace)
+		r.expired = true
 	}
 	f.records[id] = r
 	f.changed()
@@ -204,6 +207,15 @@
 	return r.instance, ok && r.usable(now) && !f.evacuated[r.instance.centre], ok
 }
 
+// Left reports whether the entry of an instance vanished within about the last 30 s, and not
+// because the store was unavailable.
+func (f *Fleet) Left(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.records[id]
+	return ok && !r.removedAt.IsZero() && !r.expired
+}
+
 // ByAddress returns the instance of a service at an address, whether it may receive
 // requests, and whether there is one. Of several instances it prefers a usable one,
 // then the one that started last. It disregards whether the data centre is out of
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -47,6 +47,8 @@
 			case "get":
 				i, usable, ok := f.Get(now, words[2])
 				fmt.Fprintf(&out, "%s: %s usable=%t known=%t\n", line, i.ID(), usable, ok)
+			case "left":
+				fmt.Fprintf(&out, "%s: %t\n", line, f.Left(words[2]))
 			case "services":
 				f.SetServices(map[string]bool{words[2]: true})
 			case "daemon":
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -97,6 +97,18 @@
 	return e.item, ok && !e.item.removed
 }
 
+// Removal returns the revision of the current era at which an item was removed, and false if it
+// was not, or if its tombstone has been purged.
+func (r *Replica) Removal(key string) (revision uint64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[key]
+	if !e.item.removed {
+		return 0, false
+	}
+	return e.item.revision, true
+}
+
 // Apply merges the items that changed after revision after of upTo's era, up to upTo, as of
 // their last change in that range. It returns those that were new to the replica,
 // ordered by revision; tombstones of items that it did not have are left out. If the
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -61,6 +61,9 @@
 			}
 			now = now.Add(passed)
 			return fmt.Sprintf("%sleftovers=%d\n", formatItems(r.Expire(now)), r.Leftovers())
+		case "removal": // prints when an item was removed
+			revision, ok := r.Removal(d.CmdArgs[0].Key)
+			return fmt.Sprintf("revision=%d removed=%t\n", revision, ok)
 		case "sweep":
 			now = now.Add(time.Hour)
 			r.PurgeTombstones(now)
