Write a lost version with other content in the soak's store lane

In half of its restores, the lane store now lets the daemons read the last version before the store loses it, and writes the same version with the opposite extra route into the restored store. That content has to be in force for a second before the next version follows, so that the rule CONFIG finds daemons that hold the lost content.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -195,8 +195,24 @@
 	f.versionGuard.acquire()
 	defer f.versionGuard.release()
 	f.version++
-	defer f.journal.release(hasExtraRoute(f.version))()
-	return f.store.put("op/config", configuration(f.version))
+	return f.writeVersion(hasExtraRoute(f.version))
+}
+
+// writeVersion writes the current version. The caller holds versionGuard.
+func (f *fleet) writeVersion(extra bool) error {
+	defer f.journal.release(extra)()
+	return f.store.put(configKey, configuration(f.version, extra))
+}
+
+// reconfigure writes a version that the store has lost again, with other content, unless there is
+// a later one.
+func (f *fleet) reconfigure(version int) error {
+	f.versionGuard.acquire()
+	defer f.versionGuard.release()
+	if f.version != version {
+		return nil
+	}
+	return f.writeVersion(!hasExtraRoute(version))
 }
 
 // startDaemon starts an instance's daemon and waits until it is ready.
--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,11 +41,18 @@
 	minCopyAge = time.Second
 	// rewriteTime is the time within which all that was lost is written again.
 	rewriteTime = 1800 * time.Millisecond
+	// adoptTime is the time in which daemons read a version that follows others quickly. Together
+	// with the time for which the store is away, it is shorter than the least age of a copy.
+	adoptTime = 500 * time.Millisecond
+	// configKey is the key of the configuration.
+	configKey = "op/config"
 )
 
 // restore writes versions, makes the store unavailable for a moment and restores it from an older
-// copy, which lacks them. The last write of each key is repeated some time later, and then comes
-// another version, at a revision that the store had assigned before.
+// copy, which lacks them. The last write of each key is repeated some time later; if the step is
+// reversed, daemons hold the last version when it is lost, and the operators write it with other
+// content instead, which has to be in force before the next one. Then comes another version, at a revision that the store had assigned
+// before.
 func (f *fleet) restore(s step) error {
 	f.storeGuard.acquire()
 	defer f.storeGuard.release()
@@ -54,10 +62,18 @@
 		}
 		time.Sleep(s.gap / 4)
 	}
+	if s.reverse {
+		time.Sleep(adoptTime)
+	}
 	f.store.Suspend()
 	time.Sleep(s.gap)
-	lost := f.store.Restore(minCopyAge + s.length)
+	f.versionGuard.acquire()
+	lost, version := f.store.Restore(minCopyAge+s.length), f.version
+	f.versionGuard.release()
 	f.journal.note(fmt.Sprintf("%8s store restored, %d keys lost", "", len(lost)))
+	if s.reverse {
+		lost = slices.DeleteFunc(lost, func(l standin.Lost) bool { return l.Key() == configKey })
+	}
 	var writers sync.WaitGroup
 	for n, l := range lost {
 		writers.Go(func() {
@@ -65,6 +81,14 @@
 			f.store.WriteAgain(l)
 		})
 	}
+	if s.reverse {
+		time.Sleep(s.gap)
+		if err := f.reconfigure(version); err != nil {
+			return err
+		}
+		f.journal.note(fmt.Sprintf("%8s version %d written with other content", "", version))
+		time.Sleep(applyBound + time.Second)
+	}
 	writers.Wait()
 	return f.configure()
 }
--- a/internal/soak/wire.go
+++ b/internal/soak/wire.go
@@ -58,11 +58,12 @@
 // customerLimited is the customer whose requests are limited.
 const customerLimited = "customer-d"
 
-// hasExtraRoute reports whether a version has the route that the others lack.
+// hasExtraRoute reports whether a version has the route that the others lack, if it is written
+// once.
 func hasExtraRoute(version int) bool { return version%2 == 0 }
 
-// configuration returns a version.
-func configuration(version int) wireConfig {
+// configuration returns a version with or without the extra route.
+func configuration(version int, extra bool) wireConfig {
 	c := wireConfig{Version: fmt.Sprintf("%08x", version)}
 	add := func(kind, name string, spec map[string]any) {
 		metadata := map[string]any{}
@@ -83,7 +84,7 @@
 	route("book", hostBook, "unsafe", services[1])
 	route("upload", hostUpload, "upload", services[2])
 	route("call", hostCall, "safe", services[2])["allow-anonymous"] = true
-	if hasExtraRoute(version) {
+	if extra {
 		route(fmt.Sprintf("extra-%d", version), hostExtra, "safe", services[0])
 	}
 	for _, name := range services {
