Check that limits can be handed out, and find more entries that never match

Cause: "config check" did not know how daemons split limits. Without slack, a limit of 1/s with a burst of 1 leaves no part with room for a whole token, so that all requests are refused. A rate without a quota window is reported, too. The fractions that data centres own sum to at most 0.8 of a limit by construction and the configuration reserves none, so that no sum of them can be above the total.

--- a/cmd/lycheehead/config.go
+++ b/cmd/lycheehead/config.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 
+	"github.com/lycheehead/lycheehead/internal/sidecar"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/platform"
 )
@@ -14,16 +15,23 @@
 }
 
 type configCheckCommand struct {
-	File    string `arg:"" type:"existingfile" help:"Configuration file."`
-	Against string `type:"existingfile" help:"File with the version in force. The differences from it are printed; the exit code is 4 if there are any and no findings."`
+	File     string `arg:"" type:"existingfile" help:"Configuration file."`
+	Against  string `type:"existingfile" help:"File with the version in force. The differences from it are printed; the exit code is 4 if there are any and no findings."`
+	Settings string `type:"existingfile" help:"Settings file of a daemon. Customers' limits are checked against its bounds and data centres."`
 }
 
 // Run checks a configuration.
 func (c *configCheckCommand) Run() error {
-	draft, findings, err := checkConfig(c.File)
+	draft, err := readConfig(c.File)
 	if err != nil {
 		return err
 	}
+	if c.Settings != "" {
+		if err := setQuota(draft, c.Settings); err != nil {
+			return err
+		}
+	}
+	findings := draft.Check()
 	printFindings(c.File, findings)
 	errorCount := countErrors(findings)
 	var differences []string
@@ -47,22 +55,41 @@
 	return nil
 }
 
-func checkConfig(path string) (*operator.Draft, []operator.Finding, error) {
+func readConfig(path string) (*operator.Draft, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("read configuration: %w", err)
+		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	draft := platform.DecodeConfigFile(text)
-	return draft, draft.Check(), nil
+	return platform.DecodeConfigFile(text), nil
+}
+
+// setQuota sets the bound of customers' limits and the number of data centres that a daemon with
+// the settings in a file uses.
+func setQuota(draft *operator.Draft, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	settings, err := platform.ParseSettings(path, text)
+	if err != nil {
+		return withCode(exitInvalid, "settings: %w", err)
+	}
+	s, err := settings.Sidecar()
+	if err != nil {
+		return withCode(exitInvalid, "%w", err)
+	}
+	draft.SetQuota(sidecar.RateBound(s.GetBounds()), len(s.GetCentres()))
+	return nil
 }
 
 // diffConfig returns the differences of a draft from the version in a file. The file may have
 // warnings, since its version is in force already.
 func diffConfig(draft *operator.Draft, path string) ([]string, error) {
-	from, findings, err := checkConfig(path)
+	from, err := readConfig(path)
 	if err != nil {
 		return nil, err
 	}
+	findings := from.Check()
 	if n := countErrors(findings); n > 0 {
 		printFindings(path, findings)
 		return nil, withCode(exitInvalid, "%s: %d errors", path, n)
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -126,7 +126,7 @@
 	d.shutdown = newShutdown(d.monitor)
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
-	rateBound := customer.NewRateBound(bounds.GetQuotaWindow().AsDuration(), bounds.GetQuotaOver(), bounds.GetQuotaSlack())
+	rateBound := RateBound(bounds)
 	d.admission = d.newAdmission(p.protocol, fleet.NewAddress(backendAddr.Addr().String(), backendAddr.Port()))
 	d.peers.link = d.admission.link
 	d.admission.daemonRestarted = !firstStart
@@ -182,7 +182,7 @@
 		self:         inboundAddr.Addr().String(),
 		centre:       s.GetCentre(),
 		centreCount:  len(s.GetCentres()),
-		unlimited:    bounds.GetQuotaWindow().AsDuration() <= 0,
+		unlimited:    rateBound.Unlimited(),
 		quota:        customer.NewQuota(rateBound),
 		allocator:    customer.NewAllocator(rateBound, firstStart),
 		tokenCache:   customer.NewTokenCache(),
--- a/internal/sidecar/rate_limiter.go
+++ b/internal/sidecar/rate_limiter.go
@@ -85,6 +85,11 @@
 	lastMessageAt atomic.Int64
 }
 
+// RateBound returns the bound that daemons with the given settings enforce for each customer.
+func RateBound(b *schema.Bounds) customer.RateBound {
+	return customer.NewRateBound(b.GetQuotaWindow().AsDuration(), b.GetQuotaOver(), b.GetQuotaSlack())
+}
+
 // membership is the set of daemons that enforce limits.
 type membership struct {
 	// all are the live daemons of the fleet, and inCentre those of this data centre
--- a/pkg/customer/bound.go
+++ b/pkg/customer/bound.go
@@ -22,6 +22,17 @@
 	return RateBound{length: length, relativeTolerance: relativeTolerance, absoluteTolerance: absoluteTolerance}
 }
 
+// Unlimited reports whether the bound has no window, so that limits are not enforced.
+func (r RateBound) Unlimited() bool { return r.length <= 0 }
+
+// Room returns for how many tokens the largest part of a limit has room, be it the bucket of a data
+// centre or the reserve: least while all of the limit that may be leased is leased, and most while
+// nothing is. A part with room for less than one token lends none.
+func (r RateBound) Room(l Limit) (least, most float64) {
+	p := r.bucketParams(l)
+	return p.size * max(p.owned, p.shared()*reserveFraction), p.size * max(p.owned, p.shared())
+}
+
 const (
 	// usableFraction is the fraction of the bound that is issued as tokens. The rest
 	// covers requests that arrive later than they were admitted, and the time in which
--- a/pkg/customer/starved_test.go
+++ b/pkg/customer/starved_test.go
@@ -103,11 +103,15 @@
 )
 
 func newLoadHistory(s customerLoad, rate float64, seed uint64) *loadHistory {
-	bound := customer.NewRateBound(5*time.Second, 0.25, 20)
+	return newBoundedHistory(s, customer.NewRateBound(5*time.Second, 0.25, 20), customer.NewLimit("customer-1", rate, rate, s.centres), rate, seed)
+}
+
+// newBoundedHistory returns a history with a limit, whose rate is also given, and its bound.
+func newBoundedHistory(s customerLoad, bound customer.RateBound, limit customer.Limit, rate float64, seed uint64) *loadHistory {
 	h := &loadHistory{
 		customerLoad: s, bound: bound, begin: time.Unix(1000, 0),
 		random: rand.New(rand.NewPCG(seed, 1)), //nolint:gosec // a seeded test
-		limit:  customer.NewLimit("customer-1", rate, rate, s.centres),
+		limit:  limit,
 	}
 	lessor := customer.NewAllocator(bound, false)
 	total := 0.0
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lycheehead/lycheehead/pkg/customer"
 )
 
 // Position is where an entry begins in the file that it was read from.
@@ -86,6 +89,10 @@
 	findings  []Finding
 	// incomplete is whether an entry could not be decoded.
 	incomplete bool
+	// quota is the bound of customers' limits, which are split over centres data centres, or
+	// nil if unknown.
+	quota   *customer.RateBound
+	centres int
 	// openBytes and keyedBytes are the largest headers of requests for routes that accept
 	// anonymous callers and for others, without the API key, and keyBytes the largest header
 	// field with an API key.
@@ -137,6 +144,10 @@
 	d.limits = append(d.limits, entry[Limits]{value: l, position: at})
 }
 
+// SetQuota sets the bound that daemons enforce for each customer and the number of data centres
+// over which they split it. Without it, Check does not examine what is left of a limit there.
+func (d *Draft) SetQuota(b customer.RateBound, centres int) { d.quota, d.centres = &b, centres }
+
 // AddError records that an entry could not be decoded.
 func (d *Draft) AddError(at Position, format string, args ...any) {
 	d.incomplete = true
@@ -206,12 +217,33 @@
 func customerLabel(c Customer) string { return fmt.Sprintf("customer %q", c.name) }
 
 // pathBytes are the bytes other than letters and digits that the path of a request may contain.
-// Clients encode all others.
-const pathBytes = "/%-_.~!$&'()*+,;=:@[]"
+// Clients encode all others. hostBytes are those in the host of a request; daemons reject others.
+// They accept an asterisk, but no host has one, and it does not match other hosts.
+const (
+	pathBytes = "/%-_.~!$&'()*+,;=:@[]"
+	hostBytes = "%-_.~!$&'()+,;=:[]"
+)
+
+// never returns a function that reports whether a character is neither a letter or digit of ASCII
+// nor among others.
+func never(others string) func(c rune) bool {
+	return func(c rune) bool {
+		return (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && !strings.ContainsRune(others, c)
+	}
+}
 
-// neverInPath reports whether no path of a request contains a character.
-func neverInPath(c rune) bool {
-	return (c < '0' || c > '9') && (c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && !strings.ContainsRune(pathBytes, c)
+// malformedEscape returns the index of the first percent sign that two hexadecimal digits do not
+// follow, or -1. Daemons reject requests with one.
+func malformedEscape(path string) int {
+	for i := range len(path) {
+		if path[i] != '%' {
+			continue
+		}
+		if _, err := hex.DecodeString(path[i+1 : min(i+3, len(path))]); err != nil || i+3 > len(path) {
+			return i
+		}
+	}
+	return -1
 }
 
 func (d *Draft) checkRoutes() {
@@ -220,11 +252,15 @@
 		switch {
 		case r.host == "":
 			d.add(Warning, e.position, "%s never matches: the host is empty", label)
+		case strings.IndexFunc(r.host, never(hostBytes)) >= 0:
+			d.add(Warning, e.position, "%s never matches: no request has the character at byte %d of host %q", label, strings.IndexFunc(r.host, never(hostBytes))+1, r.host)
 		case matchedHost(r.host) != r.host:
 			d.add(Warning, e.position, "%s never matches: hosts are compared without a port, and %q has one", label, r.host)
 		}
-		if i := strings.IndexFunc(r.prefix, neverInPath); i >= 0 {
+		if i := strings.IndexFunc(r.prefix, never(pathBytes)); i >= 0 {
 			d.add(Warning, e.position, "%s never matches: no path contains the character at byte %d of prefix %q", label, i+1, r.prefix)
+		} else if i := malformedEscape(r.prefix); i >= 0 {
+			d.add(Warning, e.position, "%s never matches: prefix %q has a malformed escape at byte %d", label, r.prefix, i+1)
 		}
 		d.checkWeights(e)
 		if r.timeout > 0 && r.timeout < r.latencyObjective {
@@ -267,6 +303,12 @@
 		case s.warmupDuration == 0 && s.warmupRate > 0:
 			d.add(Warning, e.position, "%s: warm-up rate of %g/s has no duration, so it never applies", label, s.warmupRate)
 		}
+		if s.healthPath != "" && !strings.HasPrefix(s.healthPath, "/") {
+			d.add(Warning, e.position, "%s: health path %q does not begin with a slash", label, s.healthPath)
+		}
+		if text := negative("max connections", int64(s.maxConnections)); text != "" {
+			d.add(Warning, e.position, "%s: %s", label, text)
+		}
 	}
 }
 
@@ -291,6 +333,27 @@
 		case c.rate == 0 && c.burst > 0:
 			d.add(Warning, e.position, "%s: burst %g has no rate, so requests are not limited", label, c.burst)
 		}
+		d.checkQuota(e)
+	}
+}
+
+// checkQuota reports a limit that daemons do not enforce, and one of which no part has room for a
+// whole request, so that requests are refused although the customer does not exceed it.
+func (d *Draft) checkQuota(e entry[Customer]) {
+	c, label := e.value, customerLabel(e.value)
+	if d.quota == nil || c.rate <= 0 || c.burst < 0 {
+		return
+	}
+	if d.quota.Unlimited() {
+		d.add(Warning, e.position, "%s: rate %g/s is not enforced: the settings have no quota window", label, c.rate)
+		return
+	}
+	limit := fmt.Sprintf("%s: rate %g/s with burst %g", label, c.rate, c.burst)
+	switch least, most := d.quota.Room(customer.NewLimit(c.name, c.rate, c.burst, d.centres)); {
+	case most < 1:
+		d.add(Warning, e.position, "%s is never handed out: with %d data centres, its largest part has room for %.2f requests", limit, d.centres, most)
+	case least < 1:
+		d.add(Warning, e.position, "%s is not handed out under load: with %d data centres, its largest part then has room for %.2f requests", limit, d.centres, least)
 	}
 }
 
--- a/pkg/operator/check_test.go
+++ b/pkg/operator/check_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/lycheehead/lycheehead/pkg/customer"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 )
 
@@ -103,6 +104,8 @@
 				t.Fatal(err)
 			}
 			draft = operator.NewDraft(n, at)
+		case "quota":
+			draft.SetQuota(customer.NewRateBound(l.seconds("window"), l.number("over", 0), l.number("slack", 0)), int(l.number("centres", 0)))
 		case "undecoded":
 			draft.AddError(at, "undecoded")
 		case "ignored":
