Compare lists of named entries with one generic function

Cause: diffEntries and indexByName of pkg/operator and internal/bundle differed only in how two entries of a name are compared and whether the changes are printed. Change: pkg/diff.Lines takes the name and the comparison as functions; both packages use it. Further entries of a name are now numbered in the differences of bundles, too.

--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -2,12 +2,11 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/diff"
 )
 
 // Diff lists the differences between two bundles, one line per entry. A line
@@ -28,30 +27,5 @@
 }
 
 func diffEntries[M proto.Message](kind string, from, to []M, name func(M) string) []string {
-	oldEntries := indexByName(from, name)
-	newEntries := indexByName(to, name)
-	all := maps.Clone(oldEntries)
-	maps.Copy(all, newEntries)
-	var lines []string
-	for _, key := range slices.Sorted(maps.Keys(all)) {
-		oldEntry, inOld := oldEntries[key]
-		newEntry, inNew := newEntries[key]
-		switch {
-		case !inOld:
-			lines = append(lines, fmt.Sprintf("+ %s %s", kind, key))
-		case !inNew:
-			lines = append(lines, fmt.Sprintf("- %s %s", kind, key))
-		case !proto.Equal(oldEntry, newEntry):
-			lines = append(lines, fmt.Sprintf("~ %s %s", kind, key))
-		}
-	}
-	return lines
-}
-
-func indexByName[M proto.Message](entries []M, name func(M) string) map[string]M {
-	index := make(map[string]M, len(entries))
-	for _, m := range entries {
-		index[name(m)] = m
-	}
-	return index
+	return diff.Lines(kind, from, to, name, func(from, to M) (string, bool) { return "", !proto.Equal(from, to) })
 }
--- a/pkg/operator/diff.go
+++ b/pkg/operator/diff.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
+
+	"github.com/lycheehead/lycheehead/pkg/diff"
 )
 
 // Diff lists the differences from another version, one line per entry. A line starts with + for
@@ -123,49 +124,21 @@
 }
 
 func diffEntries[T any](kind string, from, to []entry[T], name func(T) string, fields []fieldDiff[T]) []string {
-	before, after := indexByName(from, name), indexByName(to, name)
-	all := maps.Clone(before)
-	maps.Copy(all, after)
-	var lines []string
-	for _, key := range slices.Sorted(maps.Keys(all)) {
-		old, inOld := before[key]
-		current, inNew := after[key]
-		switch {
-		case !inOld:
-			lines = append(lines, fmt.Sprintf("+ %s %s", kind, key))
-		case !inNew:
-			lines = append(lines, fmt.Sprintf("- %s %s", kind, key))
-		default:
-			if changes := changedFields(old, current, fields); changes != "" {
-				lines = append(lines, fmt.Sprintf("~ %s %s: %s", kind, key, changes))
-			}
-		}
-	}
-	return lines
+	return diff.Lines(kind, from, to,
+		func(e entry[T]) string { return name(e.value) },
+		func(from, to entry[T]) (string, bool) {
+			changes := changedFields(from.value, to.value, fields)
+			return changes, changes != ""
+		})
 }
 
 // changedFields describes the fields that differ, separated by commas.
 func changedFields[T any](from, to T, fields []fieldDiff[T]) string {
 	var changes []string
-	for _, diff := range fields {
-		if text := diff(from, to); text != "" {
+	for _, f := range fields {
+		if text := f(from, to); text != "" {
 			changes = append(changes, text)
 		}
 	}
 	return strings.Join(changes, ", ")
 }
-
-// indexByName returns the entries by name. Names of routes need not be unique, so further ones
-// of a name are numbered.
-func indexByName[T any](entries []entry[T], name func(T) string) map[string]T {
-	index := make(map[string]T, len(entries))
-	count := make(map[string]int)
-	for _, e := range entries {
-		key := name(e.value)
-		if count[key]++; count[key] > 1 {
-			key = fmt.Sprintf("%s (%d)", key, count[key])
-		}
-		index[key] = e.value
-	}
-	return index
-}
