--- a/internal/backendhttp/response_test.go
+++ b/internal/backendhttp/response_test.go
@@ -1,87 +1,22 @@
 package backendhttp_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lycheehead/lycheehead/internal/backendhttp"
+	"github.com/lycheehead/lycheehead/internal/wirecheck/wiretest"
 )
 
-// rawServer answers the first request of each connection with a valid response and the others with
-// raw. If end is set, it answers the first one so, without reading its body, and then resets the
-// connection or ends its side ("half"), or after that ("close").
-type rawServer struct {
-	listener net.Listener
-	raw      string
-	end      string
-	runs     atomic.Int64
-}
-
-func serveRaw(t *testing.T, text, end string) *rawServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	raw, err := strconv.Unquote(`"` + text + `"`)
-	if err != nil {
-		t.Fatalf("%s: %v", text, err)
-	}
-	s := &rawServer{listener: l, raw: raw, end: end}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
-	return s
-}
-
-func (s *rawServer) serve(c *net.TCPConn) {
-	defer func() { _ = c.Close() }()
-	r := bufio.NewReader(c)
-	for text := "HTTP/1.1 204 No Content\r\n\r\n"; ; text = s.raw {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		s.runs.Add(1)
-		switch s.end {
-		case "reset":
-			_, _ = io.WriteString(c, s.raw)
-			_ = c.SetLinger(0)
-			return
-		case "half":
-			_, _ = io.WriteString(c, s.raw)
-			_ = c.CloseWrite()
-			_, _ = io.Copy(io.Discard, c)
-			return
-		case "close":
-			_, _ = io.Copy(io.Discard, req.Body)
-			_, _ = io.WriteString(c, s.raw)
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(c, text)
-	}
-}
-
-func (s *rawServer) client() *backendhttp.Client {
-	return backendhttp.New(s.listener.Addr().String(), 1, func(http.Header) bool { return false }, func() {})
+func clientOf(s *wiretest.RawServer) *backendhttp.Client {
+	return backendhttp.New(s.Address(), 1, func(http.Header) bool { return false }, func() {})
 }
 
 // TestMalformedResponse guards against a message that is not a valid response and of which bytes
@@ -91,11 +26,11 @@
 	datadriven.RunTest(t, "testdata/malformed", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
-			s := serveRaw(t, line, "")
-			c := s.client()
+			s := wiretest.ServeRaw(t, line, wiretest.Kept, true)
+			c := clientOf(s)
 			_ = send(context.Background(), c, newRequest(d.Cmd))
 			result := send(context.Background(), c, newRequest(d.Cmd))
-			fmt.Fprintf(&out, "%s\n  %q, executed %d times\n", line, result, s.runs.Load()-1)
+			fmt.Fprintf(&out, "%s\n  %q, executed %d times\n", line, result, s.Requests()-1)
 		}
 		return out.String()
 	})
@@ -125,7 +60,8 @@
 		d.ScanArgs(t, "requests", &requests)
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
-			s := serveRaw(t, line, d.Cmd)
+			end := wiretest.End(d.Cmd)
+			s := wiretest.ServeRaw(t, line, end, end == wiretest.Close)
 			taken := 0
 			for range requests {
 				var body io.Reader = strings.NewReader(strings.Repeat("b", size))
@@ -133,7 +69,7 @@
 					body = &slowBody{rest: size}
 				}
 				r := backendhttp.NewRequest(http.MethodPost, "/", http.Header{}, body, int64(size))
-				if text := send(context.Background(), s.client(), r); text != "no response" && !strings.HasSuffix(text, "(cut)") {
+				if text := send(context.Background(), clientOf(s), r); text != "no response" && !strings.HasSuffix(text, "(cut)") {
 					taken++
 				}
 			}
--- a/internal/http1/response_test.go
+++ b/internal/http1/response_test.go
@@ -1,14 +1,10 @@
 package http1_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -16,68 +12,9 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/internal/wirecheck/wiretest"
 )
 
-// rawServer reads the head of each request, and its body if drain is set, writes a response, and
-// then ends the connection: by a reset, a close, a close behind which it reads on ("half"), or when
-// the client has closed it ("open").
-type rawServer struct {
-	listener net.Listener
-	response []byte
-	end      string
-	drain    bool
-}
-
-func serveRaw(t *testing.T, text, end string, drain bool) *rawServer {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	s := &rawServer{listener: l, response: unquote(t, text), end: end, drain: drain}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn))
-		}
-	}()
-	return s
-}
-
-func (s *rawServer) serve(c *net.TCPConn) {
-	defer func() { _ = c.Close() }()
-	req, err := http.ReadRequest(bufio.NewReader(c))
-	if err != nil {
-		return
-	}
-	if s.drain {
-		_, _ = io.Copy(io.Discard, req.Body)
-	}
-	_, _ = c.Write(s.response)
-	switch s.end {
-	case "reset":
-		_ = c.SetLinger(0)
-	case "open":
-		_, _ = io.Copy(io.Discard, c)
-	case "half":
-		_ = c.CloseWrite()
-		time.Sleep(50 * time.Millisecond)
-		_, _ = io.Copy(io.Discard, c)
-	}
-}
-
-// unquote returns the bytes of a response that a script has with escapes.
-func unquote(t *testing.T, text string) []byte {
-	s, err := strconv.Unquote(`"` + strings.ReplaceAll(text, `"`, `\"`) + `"`)
-	if err != nil {
-		t.Fatalf("%s: %v", text, err)
-	}
-	return []byte(s)
-}
-
 // TestMalformedResponse guards against a message that is not a valid response and of which bytes
 // reach a caller, or whose body ends elsewhere than its sender meant (MIXED). Each line of the
 // input is what a server sends in response to a request with the method of the command. With the
@@ -86,12 +23,12 @@
 	datadriven.RunTest(t, "testdata/malformed", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
-			end := "close"
+			end := wiretest.Close
 			if d.HasArg("open") {
-				end = "open"
+				end = wiretest.Open
 			}
-			s := serveRaw(t, line, end, true)
-			c := http1.NewClient(s.listener.Addr().String(), time.Second, 1)
+			s := wiretest.ServeRaw(t, line, end, true)
+			c := http1.NewClient(s.Address(), time.Second, 1)
 			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 			resp, err := c.Do(ctx, http1.NewRequest(d.Cmd, "/", "example", nil))
 			result := formatResult(resp, err)
@@ -131,8 +68,8 @@
 		d.ScanArgs(t, "body", &body)
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
-			s := serveRaw(t, strings.ReplaceAll(line, "BODY", strings.Repeat("b", 700)), d.Cmd, d.HasArg("drain"))
-			c := http1.NewClient(s.listener.Addr().String(), time.Second, 1)
+			s := wiretest.ServeRaw(t, strings.ReplaceAll(line, "BODY", strings.Repeat("b", 700)), wiretest.End(d.Cmd), d.HasArg("drain"))
+			c := http1.NewClient(s.Address(), time.Second, 1)
 			results := make(map[string]int)
 			for range requests {
 				r := http1.NewRequest(http.MethodPost, "/", "example", nil)
--- a/internal/wirecheck/wiretest/wiretest.go
+++ b/internal/wirecheck/wiretest/wiretest.go
@@ -2,16 +2,125 @@
 package wiretest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
 
+// End is what a RawServer does with a connection behind a response.
+type End string
+
+const (
+	// Close closes the connection.
+	Close End = "close"
+	// Reset resets the connection.
+	Reset End = "reset"
+	// Half ends the server's side of the connection and reads on.
+	Half End = "half"
+	// Open reads on until the client has closed the connection.
+	Open End = "open"
+	// Kept keeps the connection for further requests. The first one gets a valid response, so
+	// that the others arrive on a connection that the client has used before.
+	Kept End = "kept"
+)
+
+// validResponse is the response to the first request of a connection that is kept.
+const validResponse = "HTTP/1.1 204 No Content\r\n\r\n"
+
+// halfPause is the time from the end of the server's side of a connection until it reads on, in
+// which a client meets that end while it still sends.
+const halfPause = 50 * time.Millisecond
+
+// RawServer answers requests with the bytes of a response, valid or not. Use ServeRaw to create one.
+type RawServer struct {
+	listener net.Listener
+	response []byte
+	end      End
+	drain    bool
+	requests atomic.Int64
+}
+
+// ServeRaw starts a server that answers with a text in which bytes are escaped as in a Go string,
+// apart from quotes. With drain, it reads the body of a request before. It runs until the test ends.
+func ServeRaw(t *testing.T, text string, end End, drain bool) *RawServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	response, err := strconv.Unquote(`"` + strings.ReplaceAll(text, `"`, `\"`) + `"`)
+	if err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	s := &RawServer{listener: l, response: []byte(response), end: end, drain: drain}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c.(*net.TCPConn))
+		}
+	}()
+	return s
+}
+
+// Address returns the server's address.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// Requests returns how many requests have arrived.
+func (s *RawServer) Requests() int64 { return s.requests.Load() }
+
+func (s *RawServer) serve(c *net.TCPConn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	first := s.response
+	if s.end == Kept {
+		first = []byte(validResponse)
+	}
+	if !s.answer(c, r, first) {
+		return
+	}
+	switch s.end {
+	case Kept:
+		for s.answer(c, r, s.response) {
+			continue
+		}
+	case Reset:
+		_ = c.SetLinger(0)
+	case Open:
+		_, _ = io.Copy(io.Discard, c)
+	case Half:
+		_ = c.CloseWrite()
+		time.Sleep(halfPause)
+		_, _ = io.Copy(io.Discard, c)
+	}
+}
+
+// answer reads a request and writes a response. It reports whether a request arrived.
+func (s *RawServer) answer(w io.Writer, r *bufio.Reader, response []byte) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	s.requests.Add(1)
+	if s.drain {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+	_, _ = w.Write(response)
+	return true
+}
+
 // RunMalformed runs the script testdata/malformed. Each line of its input is the beginning of a
 // response, which a server completes with the length of body and body itself. read reads it from the
 // server at an address. The output says for each line whether that succeeded.
@@ -19,20 +128,8 @@
 	datadriven.RunTest(t, "testdata/malformed", func(t *testing.T, d *datadriven.TestData) string {
 		var out strings.Builder
 		for line := range strings.SplitSeq(d.Input, "\n") {
-			head, err := strconv.Unquote(`"` + line + `"`)
-			if err != nil {
-				t.Fatalf("%s: %v", line, err)
-			}
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					return
-				}
-				_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-				_ = c.Close()
-			}))
-			err = read(t, strings.TrimPrefix(server.URL, "http://"))
-			server.Close()
+			s := ServeRaw(t, fmt.Sprintf(`%sContent-Length: %d\r\n\r\n%s`, line, len(body), body), Close, true)
+			err := read(t, s.Address())
 			fmt.Fprintf(&out, "%s: read %t\n", line, err == nil)
 		}
 		return out.String()
