Release the slot of a request whose handling panics

Cause: admission releases the slot of the backend server on each way on which it sends a request or gives it up, but not when a call in between panics (the adapter as it sets header fields or reads a response, for example). The HTTP server recovers from the panic, and the slot stayed taken until the process ended. Change: a deferred call ends what is left in the queue. The queue ignores it for a request that has ended, so that no slot is released twice. The ticks of a queue that waits beside free slots are scheduled behind that call instead of before it.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -114,6 +114,7 @@
 		r.retryAfter, r.instance = decision.retryAfter, decision.instance
 		return r
 	}
+	defer a.abandon(decision.entry)
 	r := a.awaitSlot(ctx, decision)
 	waited := time.Since(begin)
 	if r == nil {
@@ -133,9 +134,6 @@
 	}
 	queued := backend.NewRequest(req.priority, req.route, req.objective, req.deadline)
 	entry, state, retryAfter := a.queue.Submit(now, queued, redirectable)
-	if state == backend.Waiting && a.queue.Blocked() {
-		a.scheduleTick(now)
-	}
 	return queueDecision{entry: entry, state: state, retryAfter: retryAfter, instance: id}
 }
 
@@ -206,10 +204,21 @@
 	}
 }
 
+// abandon ends a request that a panic has left in the queue, so that it keeps no slot of the backend
+// server. It has no effect on a request that has ended, whose slot another one may have.
+func (a *admission) abandon(entry *backend.Entry) {
+	if !a.queue.Cancel(entry) {
+		a.finish(time.Now(), entry, backend.Cancelled)
+	}
+}
+
 // awaitSlot waits until a queued request may run. It returns nil if the request may
 // run, and the refusal otherwise.
 func (a *admission) awaitSlot(ctx context.Context, decision queueDecision) *result {
 	if decision.state == backend.Waiting {
+		if a.queue.Blocked() {
+			a.scheduleTick(time.Now())
+		}
 		select {
 		case <-decision.entry.Decided():
 		case <-ctx.Done():
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/sidecar"
@@ -81,6 +83,30 @@
 	return d.Decoder.Decode(i)
 }
 
+// panickyHeaders panics in a call of the admission, as set by the command panic.
+type panickyHeaders struct {
+	platform.Headers
+	panics *atomic.Value
+}
+
+func (h panickyHeaders) panicIn(call string) {
+	if h.panics.Load() == call {
+		panic("as the script says")
+	}
+}
+
+// SetTarget implements sidecar.Protocol.
+func (h panickyHeaders) SetTarget(header http.Header, instance string, remaining time.Duration) {
+	h.panicIn("request")
+	h.Headers.SetTarget(header, instance, remaining)
+}
+
+// Match implements sidecar.Protocol.
+func (h panickyHeaders) Match(id string, response http.Header) http1.Match {
+	h.panicIn("response")
+	return h.Headers.Match(id, response)
+}
+
 // largeBody is the size in bytes of a body that is passed on while it arrives.
 const largeBody = 1200 << 10
 
@@ -127,6 +153,8 @@
 	listed string
 	// files is the limit for open files before a script lowered it, or zero.
 	files uint64
+	// panics is the call in which the protocol of the daemons panics.
+	panics atomic.Value
 }
 
 // logBuffer holds the log of all daemons.
@@ -343,6 +371,8 @@
 		for _, name := range args[2:] {
 			f.backends[name].set(strings.TrimSuffix(args[1], "none"), nil)
 		}
+	case "panic": // panic request|response|none: the daemons panic before a request is sent to a backend server, or at its response
+		f.panics.Store(args[1])
 	case "crash":
 		f.backends[args[1]].stop()
 	case "stop":
@@ -499,7 +529,7 @@
 			ColdSlack:   proto.Float64(5),
 		}.Build(),
 	}.Build()
-	p := sidecar.NewPlatform(platform.Headers{}, platform.NewStore(f.listener.Addr().String()), panickyDecoder{platform.NewDecoder()},
+	p := sidecar.NewPlatform(panickyHeaders{panics: &f.panics}, platform.NewStore(f.listener.Addr().String()), panickyDecoder{platform.NewDecoder()},
 		platform.OperatorPrefix, platform.InstancePrefix)
 	d, err := sidecar.New(s, p, logs.NewWriter(f.out), !f.restarted)
 	if err != nil {
