Recognise calls by their ids only on connections from the own machine

Cause: callers choose the ids of their requests. Without customers, and on routes for anonymous callers with them, a request with the id PARENT.SUFFIX of a request that the daemon's backend server was running was taken for a call of it, whoever had sent it. It got the ranks of the parent and a place before new work of these ranks, passed the refusals of a shortage, was resent from the larger part of the budget, could be refused eight times instead of two before it waited, and, where it failed for lack of capacity, made daemons refuse new requests of the parent's kind. Its deadline is the parent's at the latest. Change: a call must also come from the machine of the backend server: from the address of the backend server, the one by which other daemons know the daemon, or the loopback interface. The platform's protocol has nothing else that a caller cannot forge, and does not say from which address of the machine a backend server calls. Processes on the same machine are not told apart.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/suspend"
@@ -90,6 +92,34 @@
 	return r.byID.Get(parentID)
 }
 
+// machine holds the addresses from which the processes on the daemon's machine connect to it. An id
+// can be forged, the address of a connection cannot: a caller on another machine that extends the id
+// of a running request would get the rank of that request, pass the refusals of a shortage, and count
+// among the calls for which requests of that kind are refused. A caller on the same machine has the
+// address of the backend server and is not told apart.
+type machine struct {
+	addresses []netip.Addr
+}
+
+// newMachine returns a machine with the given addresses, besides those of its loopback interface.
+func newMachine(addresses ...netip.Addr) machine {
+	m := machine{}
+	for _, a := range addresses {
+		m.addresses = append(m.addresses, a.Unmap())
+	}
+	return m
+}
+
+// runs reports whether the process at the other end of a connection runs on the machine.
+func (m machine) runs(remote string) bool {
+	a, err := netip.ParseAddrPort(remote)
+	if err != nil {
+		return false
+	}
+	ip := a.Addr().Unmap()
+	return ip.IsLoopback() || slices.Contains(m.addresses, ip)
+}
+
 // makeCall turns a request into a call of a running request: the parent's ranks precede its own,
 // and it ends with its parent at the latest.
 func (req *request) makeCall(now time.Time, parent runningRequest, rank int) {
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -203,6 +203,7 @@
 		link:       d.admission.link,
 		sender:     d.sender,
 		calls:      d.admission.calls,
+		machine:    newMachine(backendAddr.Addr(), inboundAddr.Addr()),
 		metrics:    d.metrics,
 		shutdown:   d.shutdown,
 		budget:     budget,
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -51,7 +51,9 @@
 	link     *linkPacer
 	sender   *sender
 	// calls holds the requests that the daemon's own backend server is running.
-	calls   *runningRequests
+	calls *runningRequests
+	// machine is the daemon's machine, from which calls come.
+	machine machine
 	metrics *metrics
 	// budget bounds the memory for bodies.
 	budget   *http1.Budget
@@ -175,9 +177,9 @@
 	decision.request.service = route.ChooseService(rand.Float64()) //nolint:gosec // no secret
 	in.setDeadlines(now, decision.request, route, meta)
 	parent, isCall := in.calls.parent(meta.id)
-	// Backend servers never see an API key, so a request with one comes from a customer, who must
-	// not get ahead of others by the id that it chooses.
-	isCall = isCall && meta.key == ""
+	// A caller must not get ahead of others by the id that it chooses. Backend servers never see an
+	// API key, so a request with one comes from a customer, and they run on the daemon's machine.
+	isCall = isCall && meta.key == "" && in.machine.runs(r.RemoteAddr)
 	if isCall {
 		decision.request.makeCall(now, parent, route.Priority())
 	}
