Split the queue of a backend server by topic

The type and its interface stay in queue.go; the order of service and who is refused are in queue_order.go, the expected waits in queue_waits.go.

--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,20 +8,9 @@
 	"github.com/lycheehead/lycheehead/pkg/lock"
 )
 
-const (
-	// serviceTimeWeight is the weight of the newest sample in the moving averages of
-	// service times.
-	serviceTimeWeight = 0.1
-	// initialServiceTime is the assumed service time before the first request ends.
-	initialServiceTime = 50 * time.Millisecond
-	// minServiceShare is the fraction of the mean service time that a request is
-	// expected to take at least. A request that would miss its deadline even so is
-	// rejected.
-	minServiceShare = 0.7
-	// recheckInterval is the time after which a request that leaves free slots to calls is
-	// considered again if nothing else happens.
-	recheckInterval = 50 * time.Millisecond
-)
+// recheckInterval is the time after which a request that leaves free slots to calls is
+// considered again if nothing else happens.
+const recheckInterval = 50 * time.Millisecond
 
 // Entry represents a request at a Queue. Only Submit creates entries.
 type Entry struct {
@@ -129,247 +117,6 @@
 	return e, e.state, e.retryAfter
 }
 
-// need returns what an entry needs of the slots. The work is the mean service time of its class.
-func (q *Queue[W]) need(e *Entry) caller.Need {
-	return e.request.need(q.classMeans[e.request.class])
-}
-
-// compareEntries orders waiting entries by their needs, and equal ones by their arrival.
-func compareEntries(a, b *Entry) int {
-	return cmp.Or(a.request.need(0).Compare(b.request.need(0)), cmp.Compare(a.number, b.number))
-}
-
-// insert inserts an entry into a list in the order of service.
-func insert(entries []*Entry, e *Entry) []*Entry {
-	at, _ := slices.BinarySearchFunc(entries, e, compareEntries)
-	return slices.Insert(entries, at, e)
-}
-
-// minServiceTime returns the minimum time that a request is expected to run.
-func (q *Queue[W]) minServiceTime(r Request) time.Duration {
-	return time.Duration(float64(q.classMeans[r.class]) * minServiceShare)
-}
-
-// work returns the time for which a request of a class is expected to occupy a slot.
-func (q *Queue[W]) work(class string) time.Duration {
-	return cmp.Or(q.classMeans[class], q.mean, initialServiceTime)
-}
-
-// schedule returns the times at which the slots are expected to become free, in ascending order,
-// if no further request is started. Run times vary and include calls, so that the time a request
-// has run for says little about the time left: all runs together end at the sum of the rates of
-// their classes at first, and those of one class at even intervals over its mean service time.
-// The slice is valid until the next call.
-func (q *Queue[W]) schedule(now time.Time) []time.Time {
-	q.kept = q.reserved(now)
-	q.slots = q.slots[:0]
-	for range max(0, q.window.Size()-q.running) {
-		q.slots = append(q.slots, now)
-	}
-	free := len(q.slots)
-	rate := 0.0
-	for class, n := range q.runningPerClass {
-		work := q.work(class)
-		rate += float64(n) / float64(work)
-		for i := range n {
-			q.slots = append(q.slots, now.Add(work*time.Duration(i+1)/time.Duration(n)))
-		}
-	}
-	slices.SortFunc(q.slots, time.Time.Compare)
-	for i := free; i < len(q.slots); i++ {
-		if end := now.Add(time.Duration(float64(i-free+1) / rate)); end.Before(q.slots[i]) {
-			q.slots[i] = end
-		}
-	}
-	if excess := len(q.slots) - q.window.Size(); excess > 0 {
-		// The window has become smaller: the first slots that become free are not used again.
-		q.slots = q.slots[excess:]
-	}
-	return q.slots
-}
-
-// occupy assigns the slot that is free first to an entry.
-func (q *Queue[W]) occupy(slots []time.Time, e *Entry) {
-	end := slots[0].Add(q.work(e.request.class))
-	n, _ := slices.BinarySearchFunc(slots, end, time.Time.Compare)
-	copy(slots, slots[1:n])
-	slots[n-1] = end
-}
-
-// startOf estimates when an entry starts to run that is inserted at the given index of the queue.
-func (q *Queue[W]) startOf(now time.Time, e *Entry, at int) time.Time {
-	slots := q.schedule(now)
-	for _, ahead := range q.waiting[:at] {
-		q.occupy(slots, ahead)
-	}
-	return q.startFrom(now, slots, e, at)
-}
-
-// startFrom returns the time at which an entry starts if the slots become free at the given times
-// once a number of others that go first have run.
-func (q *Queue[W]) startFrom(now time.Time, slots []time.Time, e *Entry, ahead int) time.Time {
-	start := slots[0]
-	if q.kept > 0 && q.delays(now, e) {
-		// It starts once a slot is free that is not reserved, or it can wait no longer.
-		next := slots[min(q.kept, len(slots)-1)]
-		last := now.Add(q.calls.Slack(now, e.request.objective, q.work(e.request.class)))
-		if q.calls.Held(next.Sub(start)) {
-			start = next
-		}
-		if last.Before(start) {
-			start = last
-		}
-	}
-	if limited := now.Add(q.limiter.Interval(now) * time.Duration(ahead)); limited.After(start) {
-		return limited
-	}
-	return start
-}
-
-// reserved returns the number of slots that are kept free for calls.
-func (q *Queue[W]) reserved(now time.Time) int {
-	return q.calls.Reserved(now, q.window.Size(), q.runningCalls, q.callMean)
-}
-
-// delays reports whether an entry waits while only reserved slots are free.
-func (q *Queue[W]) delays(now time.Time, e *Entry) bool {
-	return !e.request.priority.Nested() && q.calls.Slack(now, e.request.objective, q.work(e.request.class)) > 0
-}
-
-// next returns the list and the index of the next entry to start, or false if none may start
-// although slots are free.
-func (q *Queue[W]) next(now time.Time) (list *[]*Entry, at int, ok bool) {
-	list = &q.waiting
-	if len(q.waiting) == 0 {
-		list = &q.late
-	}
-	if free := q.window.Size() - q.running; free > q.reserved(now) {
-		return list, 0, true
-	}
-	if slots := q.schedule(now); !q.calls.Held(slots[min(q.kept, len(slots)-1)].Sub(now)) {
-		return list, 0, true
-	}
-	at = slices.IndexFunc(*list, func(e *Entry) bool { return !q.delays(now, e) })
-	return list, at, at >= 0
-}
-
-// rejectLate rejects waiting entries that are not expected to be answered in time. Of those that
-// cannot all meet their objectives it moves victims to the late ones.
-func (q *Queue[W]) rejectLate(now time.Time) {
-	q.restoreVictims(now)
-	for q.deferVictim(now) {
-	}
-	slots := q.schedule(now)
-	q.waiting = q.rejectUnstartable(now, slots, q.waiting, 0, 1)
-	q.late = q.rejectUnstartable(now, slots, q.late, len(q.waiting), caller.LateWaitShare)
-}
-
-// restoreVictims moves the late entries back that can still meet their objective. They may do so
-// if those for which they made way took less time, or were withdrawn.
-func (q *Queue[W]) restoreVictims(now time.Time) {
-	q.late = slices.DeleteFunc(q.late, func(e *Entry) bool {
-		if !q.need(e).MeetsObjective(now) {
-			return false
-		}
-		q.waiting = insert(q.waiting, e)
-		return true
-	})
-}
-
-// deferVictim moves a victim to the late entries if not all waiting ones can be answered in time,
-// and reports whether it has. A call is in time until its deadline, because the request that made
-// it waits for it.
-func (q *Queue[W]) deferVictim(now time.Time) bool {
-	slots := q.schedule(now)
-	for i, e := range q.waiting {
-		start := q.startFrom(now, slots, e, i)
-		q.occupy(slots, e)
-		need := q.need(e)
-		if need.Priority().Nested() || need.MeetsObjective(start) {
-			continue
-		}
-		n := caller.Victim(q.waiting[:i+1], q.need)
-		victim := q.waiting[n]
-		q.waiting = slices.Delete(q.waiting, n, n+1)
-		q.late = insert(q.late, victim)
-		return true
-	}
-	return false
-}
-
-// rejectUnstartable rejects those entries that are not expected to start within the
-// given share of the time they have left, and returns the rest. slots are the times at which the
-// slots become free once the given number of other entries that go first have run. Those that are
-// rejected have room at that time: a shorter time would bring back requests that made way for
-// others while these still wait.
-func (q *Queue[W]) rejectUnstartable(now time.Time, slots []time.Time, entries []*Entry, ahead int, share float64) []*Entry {
-	return slices.DeleteFunc(entries, func(e *Entry) bool {
-		start := q.startFrom(now, slots, e, ahead)
-		left := e.request.deadline.Add(-q.minServiceTime(e.request)).Sub(now)
-		if wait := start.Sub(now); wait > time.Duration(float64(left)*share) {
-			e.retryAfter = wait
-			e.decide(Overloaded)
-			return true
-		}
-		q.occupy(slots, e)
-		ahead++
-		return false
-	})
-}
-
-// deferLate moves entries that can no longer meet their objective to the list of
-// late ones. Ahead of others in the queue, they would make those late as well.
-func (q *Queue[W]) deferLate(now time.Time) {
-	kept := q.waiting[:0]
-	for _, e := range q.waiting {
-		if !e.request.priority.Nested() && now.Add(q.classMeans[e.request.class]).After(e.request.objective) {
-			q.late = insert(q.late, e)
-			continue
-		}
-		kept = append(kept, e)
-	}
-	clear(q.waiting[len(kept):])
-	q.waiting = kept
-}
-
-// startWaiting starts waiting entries while the window has room.
-func (q *Queue[W]) startWaiting(now time.Time) {
-	q.deferLate(now)
-	for len(q.waiting)+len(q.late) > 0 && q.running < q.window.Size() {
-		list, at, ok := q.next(now)
-		if !ok {
-			return
-		}
-		e := (*list)[at]
-		if !now.Add(q.minServiceTime(e.request)).Before(e.request.deadline) {
-			*list = remove(*list, at)
-			e.decide(Expired)
-			continue
-		}
-		if _, ok := q.limiter.Take(now); !ok {
-			return
-		}
-		*list = remove(*list, at)
-		q.running++
-		q.runningPerClass[e.request.class]++
-		if e.request.priority.Nested() {
-			q.runningCalls++
-		}
-		e.started = now
-		e.decide(Running)
-	}
-}
-
-// remove removes an entry. It clears the element of the first one, so that the backing array does
-// not keep the entry in memory.
-func remove(entries []*Entry, at int) []*Entry {
-	if at > 0 {
-		return slices.Delete(entries, at, at+1)
-	}
-	entries[0] = nil
-	return entries[1:]
-}
-
 func (e *Entry) decide(s State) {
 	e.state = s
 	close(e.decided)
@@ -412,13 +159,6 @@
 	q.rejectLate(now)
 }
 
-func movingAverage(mean, newest time.Duration) time.Duration {
-	if mean == 0 {
-		return newest
-	}
-	return mean + time.Duration(float64(newest-mean)*serviceTimeWeight)
-}
-
 // Cancel removes a request whose caller gave up. It returns false if the request
 // is already running, in which case the caller must end it with Done.
 func (q *Queue[W]) Cancel(e *Entry) bool {
