Reject negative limits of a configuration with the field's name

Cause: Build checked rates, bursts, warm-ups and times, but not the limits on callers' requests. A negative idle or header timeout was used as it is (internal/http1 replaces only zero by the default) and ends connections at once; a negative size is no limit. In settings files of daemons, negative values of platform.settle and stop.bound were accepted. Change: Build reports limits.max-header-bytes, max-body-bytes, header-timeout and idle-timeout below zero, and the others by their own fields instead of that of the field beside them (burst, latency-objective, warmup-rate). 'config check' reports them as errors instead of warnings, as daemons now reject such a version. A fleet whose version in force has a negative limit must publish another one before it is upgraded. internal/settings rejects the two settings.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -117,6 +117,7 @@
 	requireAddress(&ps, "listen.admin", l.GetAdmin())
 	requireAddress(&ps, "backend", s.GetBackend())
 	validatePlatform(&ps, s.GetPlatform())
+	rejectNegative(&ps, "stop.bound", s.GetStop().GetBound().AsDuration())
 	requireValue(&ps, "mesh.authority", s.GetMesh().GetAuthority())
 	requireValue(&ps, "mesh.certificate", s.GetMesh().GetCertificate())
 	requireValue(&ps, "mesh.key", s.GetMesh().GetKey())
@@ -147,6 +148,7 @@
 	if p.HasCalls() && p.GetCalls() <= 0 {
 		ps.Add("platform.calls", "must be above 0")
 	}
+	rejectNegative(ps, "platform.settle", p.GetSettle().AsDuration())
 	if p.GetFleet() == 0 {
 		ps.Add("platform.fleet", "must be the number of daemons that share the call rate")
 	}
@@ -169,6 +171,13 @@
 	}
 }
 
+// rejectNegative rejects a negative time limit, which would have passed before it begins.
+func rejectNegative(ps *platform.Problems, path string, limit time.Duration) {
+	if limit < 0 {
+		ps.Add(path, "must not be negative")
+	}
+}
+
 func requireAddress(ps *platform.Problems, path, value string) {
 	if value == "" {
 		ps.Add(path, "is missing")
--- a/pkg/operator/builder.go
+++ b/pkg/operator/builder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Problem is one validation error of a version.
@@ -87,6 +88,7 @@
 	b.checkServices(c, &ps)
 	b.checkRoutes(c, &ps)
 	b.checkCustomers(c, &ps)
+	b.checkLimits(&ps)
 	if len(ps) > 0 {
 		return nil, ps
 	}
@@ -99,6 +101,23 @@
 	return func(field string) string { return fmt.Sprintf("%s[%d]%s", list, index, field) }
 }
 
+// rejectNegative reports a field that must not be negative, or that is not a number.
+func rejectNegative[T int64 | float64 | time.Duration](ps *Problems, path func(string) string, field string, v T) {
+	if !(v >= 0) { // NaN is invalid as well
+		ps.Add(path(field), "must not be negative")
+	}
+}
+
+// checkLimits rejects negative limits. Zero means no limit, and where a limit is applied, a negative
+// one would end connections at once or be no limit, depending on the field.
+func (b *Builder) checkLimits(ps *Problems) {
+	path := func(field string) string { return "limits" + field }
+	rejectNegative(ps, path, ".max-header-bytes", b.limits.maxHeaderBytes)
+	rejectNegative(ps, path, ".max-body-bytes", b.limits.maxBodyBytes)
+	rejectNegative(ps, path, ".header-timeout", b.limits.headerTimeout)
+	rejectNegative(ps, path, ".idle-timeout", b.limits.idleTimeout)
+}
+
 func (b *Builder) checkServices(c *Config, ps *Problems) {
 	for i, s := range b.services {
 		path := elementPath("services", i)
@@ -108,9 +127,8 @@
 		if _, exists := c.services[s.name]; exists {
 			ps.Add(path(".name"), "service %q is defined more than once", s.name)
 		}
-		if s.warmupRate < 0 || s.warmupDuration < 0 {
-			ps.Add(path(".warmup"), "must not be negative")
-		}
+		rejectNegative(ps, path, ".warmup", s.warmupDuration)
+		rejectNegative(ps, path, ".warmup-rate", s.warmupRate)
 		c.services[s.name] = s
 	}
 }
@@ -125,9 +143,8 @@
 		if other, exists := c.routes[key]; exists {
 			ps.Add(path(".prefix"), "host and prefix are already used by route %q", other.name)
 		}
-		if r.timeout < 0 || r.latencyObjective < 0 {
-			ps.Add(path(".timeout"), "must not be negative")
-		}
+		rejectNegative(ps, path, ".timeout", r.timeout)
+		rejectNegative(ps, path, ".latency-objective", r.latencyObjective)
 		b.checkTargets(c, ps, path, r)
 		c.routes[key] = r
 	}
@@ -158,9 +175,8 @@
 		if _, exists := c.customers[v.name]; exists {
 			ps.Add(path(".name"), "customer %q is defined more than once", v.name)
 		}
-		if v.rate < 0 || v.burst < 0 {
-			ps.Add(path(".rate"), "must not be negative")
-		}
+		rejectNegative(ps, path, ".rate", v.rate)
+		rejectNegative(ps, path, ".burst", v.burst)
 		c.customers[v.name] = v
 		for j, key := range v.keys {
 			if owner, exists := c.customerByKey[key]; exists && owner != v.name {
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 )
 
 // Position is where an entry begins in the file that it was read from.
@@ -186,6 +185,11 @@
 		b.AddCustomer(c.value)
 		origins[elementPath("customers", i)("")] = entry[string]{value: customerLabel(c.value), position: c.position}
 	}
+	if len(d.limits) > 0 {
+		last := d.limits[len(d.limits)-1]
+		b.SetLimits(last.value)
+		origins["limits"] = entry[string]{value: "limits", position: last.position}
+	}
 	_, err := b.Build()
 	var ps Problems
 	if !errors.As(err, &ps) {
@@ -301,16 +305,6 @@
 			continue
 		}
 		l := e.value
-		for _, text := range []string{
-			negative("header bytes", l.maxHeaderBytes),
-			negative("body bytes", l.maxBodyBytes),
-			negative("header timeout", l.headerTimeout),
-			negative("idle timeout", l.idleTimeout),
-		} {
-			if text != "" {
-				d.add(Warning, e.position, "limits: %s", text)
-			}
-		}
 		need := d.openBytes
 		if d.keyedBytes > 0 {
 			need = max(need, d.keyedBytes+d.keyBytes)
@@ -320,11 +314,3 @@
 		}
 	}
 }
-
-// negative describes a limit below zero, or returns an empty string.
-func negative[T int64 | time.Duration](name string, limit T) string {
-	if limit >= 0 {
-		return ""
-	}
-	return fmt.Sprintf("%s %v is negative", name, limit)
-}
--- a/pkg/operator/config.go
+++ b/pkg/operator/config.go
@@ -58,7 +58,7 @@
 
 // NewLimits returns limits on the size of a request's header and body in bytes,
 // the time to receive the header, and the idle time of a connection. Zero means
-// no limit.
+// no limit. Build rejects negative values.
 func NewLimits(maxHeaderBytes, maxBodyBytes int64, headerTimeout, idleTimeout time.Duration) Limits {
 	return Limits{maxHeaderBytes: maxHeaderBytes, maxBodyBytes: maxBodyBytes, headerTimeout: headerTimeout, idleTimeout: idleTimeout}
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -13,7 +13,7 @@
 )
 
 // TestConfig builds configurations from scripts and looks up routes and customers
-// in them.
+// in them. It also guards against negative limits, which would be taken as they are.
 func TestConfig(t *testing.T) {
 	var cfg *operator.Config
 	datadriven.RunTest(t, "testdata/config", func(t *testing.T, d *datadriven.TestData) string {
@@ -46,6 +46,15 @@
 			b = operator.NewBuilder(n)
 		case "service":
 			b.AddService(operator.NewService(f[1], "/health", 10))
+		case "warmup": // warmup service seconds rate
+			b.AddService(operator.NewService(f[1], "/health", 10).WithWarmup(scriptSeconds(t, f[2]), scriptNumber(t, f[3])))
+		case "timed": // timed route timeout objective
+			b.AddRoute(operator.NewRoute(f[1], "docs.example", "/"+f[1]+"/", operator.Idempotent, operator.NewTarget("a", 1)).
+				WithTimes(scriptSeconds(t, f[2]), scriptSeconds(t, f[3])))
+		case "limited": // limited customer rate burst
+			b.AddCustomer(operator.NewCustomer(f[1], nil, 0, scriptNumber(t, f[2]), scriptNumber(t, f[3])))
+		case "limits": // limits header-bytes body-bytes header-timeout idle-timeout
+			b.SetLimits(operator.NewLimits(int64(scriptNumber(t, f[1])), int64(scriptNumber(t, f[2])), scriptSeconds(t, f[3]), scriptSeconds(t, f[4])))
 		case "route":
 			var targets []operator.Target
 			for _, name := range f[4:] {
@@ -70,6 +79,18 @@
 	return b
 }
 
+func scriptNumber(t *testing.T, text string) float64 {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func scriptSeconds(t *testing.T, text string) time.Duration {
+	return time.Duration(scriptNumber(t, text) * float64(time.Second))
+}
+
 func lookUp(t *testing.T, cfg *operator.Config, script string) string {
 	var out strings.Builder
 	for line := range strings.SplitSeq(script, "\n") {
