Return the memory and connection of a response whose handling panics

Cause: a function of a request that looks at a response (whether it belongs to the request, whether the connection is kept) may panic. The memory of the response then stayed taken from the budget for bodies, and the connection open until it was collected. Change: the client closes the connection and returns the memory in deferred calls.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -71,14 +71,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("call %s: %w: %w", c.address, ErrNotSent, err)
 		}
-		conn.attachBuffers()
-		resp, reusable, err := conn.exchange(ctx, r)
-		if reusable {
-			conn.detachBuffers()
-			c.release(conn)
-		} else {
-			_ = conn.Close()
-		}
+		resp, err := c.exchange(ctx, conn, r)
 		if err != nil && reused && errors.Is(err, ErrNotSent) && ctx.Err() == nil {
 			continue
 		}
@@ -95,6 +88,23 @@
 	}
 }
 
+// exchange sends a request on a connection and reads the response. It keeps the connection if it
+// can be reused, and closes it otherwise, also if a function of the request panics.
+func (c *Client) exchange(ctx context.Context, conn *conn, r *Request) (resp *Response, err error) {
+	reusable := false
+	defer func() {
+		if !reusable {
+			_ = conn.Close()
+			return
+		}
+		conn.detachBuffers()
+		c.release(conn)
+	}()
+	conn.attachBuffers()
+	resp, reusable, err = conn.exchange(ctx, r)
+	return resp, err
+}
+
 // acquire returns an idle connection that can be reused, or a new one. The second
 // result reports whether the connection is a reused one.
 func (c *Client) acquire(ctx context.Context, r *Request) (*conn, bool, error) {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -235,6 +235,14 @@
 func (c *conn) readResponse(r *Request) (resp *Response, clean bool, err error) {
 	clean = true
 	interim, skipped := 0, 0
+	// held is the response that has been read and not been returned. A function of the request that
+	// panics must not keep its memory.
+	var held *Response
+	defer func() {
+		if held != nil {
+			held.Release()
+		}
+	}()
 	for interim <= maxInterim && skipped <= maxSkipped {
 		head, err := c.readHead(r)
 		if err != nil {
@@ -248,6 +256,7 @@
 		if err != nil {
 			return nil, false, err
 		}
+		held = out
 		clean = clean && keep
 		if !c.belongs(r, head) {
 			if r.onSkip != nil {
@@ -265,6 +274,7 @@
 		if r.closeAfter != nil && r.closeAfter(head.StatusCode, head.Header) {
 			clean = false
 		}
+		held = nil
 		// Bytes after the response belong to no request.
 		return out, clean && c.r.Buffered() == 0, nil
 	}
