--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -32,9 +32,12 @@
 	// defaultObjectiveFraction is the latency objective of routes without a configured
 	// one, as a fraction of the request's timeout.
 	defaultObjectiveFraction = 0.5
-	// unavailableRetryAfter is the Retry-After value of a daemon that is starting or
-	// stopping.
+	// unavailableRetryAfter is the Retry-After value of a daemon that is stopping.
 	unavailableRetryAfter = 100 * time.Millisecond
+	// startupTime is the time that a daemon needs from its start until it has the configuration. With
+	// 70 backend servers it takes 5 to 14 ms of processor time, which are 30 to 90 ms on a machine with
+	// a sixth of a core.
+	startupTime = 100 * time.Millisecond
 	// minRetryAfter is the minimum Retry-After value. It is also used where no estimate
 	// is available.
 	minRetryAfter = 50 * time.Millisecond
@@ -51,7 +54,9 @@
 	link     *linkPacer
 	sender   *sender
 	// calls holds the requests that the daemon's own backend server is running.
-	calls   *runningRequests
+	calls *runningRequests
+	// machine is the daemon's machine, from which calls come.
+	machine machine
 	metrics *metrics
 	// budget bounds the memory for bodies.
 	budget   *http1.Budget
@@ -159,8 +164,9 @@
 		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
 		return decision
 	case cfg == nil:
-		// Many daemons may start at once; the jitter spreads the return of their callers.
-		decision.refusal, decision.retryAfter = caller.ReasonStarting, jitter(unavailableRetryAfter)
+		startup := caller.NewStartup(in.startedAt, startupTime)
+		decision.refusal = caller.ReasonStarting
+		decision.retryAfter = startup.RetryAfter(now, meta.timeout, rand.Float64()) //nolint:gosec // no secret
 		return decision
 	}
 	decision.request.configVersion = cfg.Version()
@@ -175,9 +181,9 @@
 	decision.request.service = route.ChooseService(rand.Float64()) //nolint:gosec // no secret
 	in.setDeadlines(now, decision.request, route, meta)
 	parent, isCall := in.calls.parent(meta.id)
-	// Backend servers never see an API key, so a request with one comes from a customer, who must
-	// not get ahead of others by the id that it chooses.
-	isCall = isCall && meta.key == ""
+	// A caller must not get ahead of others by the id that it chooses. Backend servers never see an
+	// API key, so a request with one comes from a customer, and they run on the daemon's machine.
+	isCall = isCall && meta.key == "" && in.machine.runs(r.RemoteAddr)
 	if isCall {
 		decision.request.makeCall(now, parent, route.Priority())
 	}
