Ask peers again at startup, and others where peers are starting too

A daemon asked each of a few peers once at its start. Also, the answer of a peer that had just restarted and knew nothing counted as an answer, so that daemons that restart together served the older version without any load.

A peer that does not answer is now asked again after 100 ms to 1 s, also after the gate has opened at its bound, until a started peer answers. An answer says whether its sender is starting itself (Update.starting); while only such peers have answered, further ones are asked, 24 at most. An update whose base was replaced meanwhile no longer counts as an answer.

--- a/internal/daemon/feed.go
+++ b/internal/daemon/feed.go
@@ -91,7 +91,7 @@
 		f.log.Warn("cannot read instance list, using seeds", "error", err)
 		f.addSeeds()
 	}
-	f.startup.AddPeers(f.replicator.pullAtStartup())
+	f.replicator.pullAtStartup()
 }
 
 // addSeeds adds the seeds in the settings to the members.
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -79,6 +79,9 @@
 			update = encodeUpdate(u)
 		}
 	}
+	if d.feed.startup.Starting() {
+		update.SetStarting(true)
+	}
 	return schema.Answer_builder{Update: update}.Build()
 }
 
--- a/internal/daemon/replicator.go
+++ b/internal/daemon/replicator.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -58,9 +59,9 @@
 	pendingSlots func() []string
 }
 
-// pullAtStartup pulls the version in force from random peers in the background and
-// returns their names.
-func (r *replicator) pullAtStartup() []string {
+// pullAtStartup pulls the version in force from random peers in the background, as the startup
+// gate decides.
+func (r *replicator) pullAtStartup() {
 	now := time.Now()
 	rnd := newRand()
 	var local, remote []string
@@ -76,19 +77,33 @@
 	for _, list := range [][]string{local, remote} {
 		rnd.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	}
-	names := append(local[:min(startupLocalPeers, len(local))], remote[:min(startupRemotePeers, len(remote))]...)
+	nLocal, nRemote := min(startupLocalPeers, len(local)), min(startupRemotePeers, len(remote))
+	names := slices.Concat(local[:nLocal], remote[:nRemote])
+	r.feed.startup.AddPeers(names, slices.Concat(local[nLocal:], remote[nRemote:]))
+	if r.feed.everyDaemonReads() {
+		return
+	}
 	for _, name := range names {
-		r.tasks.start(func() {
-			if r.pull(name) {
-				r.feed.startup.MarkSynced(name)
-			}
-		})
+		r.tasks.start(func() { r.pullUntilAnswered(name) })
+	}
+}
+
+// pullUntilAnswered pulls the version of a daemon until the startup gate does not need its answer
+// any more.
+func (r *replicator) pullUntilAnswered(name string) {
+	for !r.pull(name) {
+		delay, needed := r.feed.startup.RecordFailure(name)
+		if !needed || !r.sleep(delay) {
+			return
+		}
+		if i, ok := r.members.Get(name); !ok || i.Removed() {
+			return
+		}
 	}
-	return names
 }
 
 // pull requests a daemon's version and applies it if it is newer. It returns whether
-// the daemon answered.
+// the daemon answered and its answer was processed.
 func (r *replicator) pull(name string) bool {
 	if r.feed.everyDaemonReads() {
 		return false
@@ -104,8 +119,16 @@
 		r.log.Debug("pull", "from", name, "error", err)
 		return false
 	}
-	if !a.GetUpdate().GetEmpty() {
-		r.applyUpdate(time.Now(), a.GetUpdate(), name)
+	u := a.GetUpdate()
+	if !u.GetEmpty() {
+		// The version may have changed meanwhile, so that the base of the update is missing.
+		if result, err := r.applyUpdate(time.Now(), u, name); result == platform.MissingParts {
+			r.log.Debug("pull", "from", name, "error", err)
+			return false
+		}
+	}
+	if next := r.feed.startup.RecordAnswer(name, u.GetStarting()); next != "" {
+		r.tasks.start(func() { r.pullUntilAnswered(next) })
 	}
 	return true
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
@@ -100,6 +101,9 @@
 // SetPolicies sets the policies of the daemons that are started later.
 func (m *Mesh) SetPolicies(p *schema.Policies) { m.policies = p }
 
+// SetSettleTimeout sets how long the daemons that are started later wait for their peers.
+func (m *Mesh) SetSettleTimeout(d time.Duration) { m.settleTimeout = d }
+
 // IsolateFromPlatform makes the platform unreachable for the daemons of a data centre that
 // are started later. Their settings list all slots as seeds.
 func (m *Mesh) IsolateFromPlatform(centre string) { m.isolatedCentre = centre }
@@ -140,6 +144,9 @@
 	// The daemon listens on callerAddress for callers, on localAddress for its backend
 	// server and on peerAddress for other daemons.
 	callerAddress, localAddress, peerAddress, backendAddress string
+	// listedPeerAddress is the address for other daemons in the instance list, or empty for
+	// peerAddress.
+	listedPeerAddress string
 
 	backend *standin.Backend
 	daemon  *daemon.Daemon
@@ -164,6 +171,13 @@
 // BackendAddress returns the address of the backend server.
 func (s *Slot) BackendAddress() string { return s.backendAddress }
 
+// PeerAddress returns the address on which the daemon serves other daemons.
+func (s *Slot) PeerAddress() string { return s.peerAddress }
+
+// SetListedPeerAddress sets the address for other daemons in the instance lists that are
+// published later. A daemon uses it until it hears from the slot's daemon itself.
+func (s *Slot) SetListedPeerAddress(address string) { s.listedPeerAddress = address }
+
 // Daemon returns the daemon, or nil if it is stopped.
 func (s *Slot) Daemon() *daemon.Daemon { return s.daemon }
 
@@ -214,7 +228,7 @@
 			Name:    proto.String(s.name),
 			Service: proto.String(s.service),
 			Centre:  proto.String(s.centre),
-			Peer:    proto.String(s.peerAddress),
+			Peer:    proto.String(cmp.Or(s.listedPeerAddress, s.peerAddress)),
 			Caller:  proto.String(s.callerAddress),
 		}.Build()))
 	}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -86,6 +86,8 @@
 		return "ok\n"
 	case "versions":
 		return r.versions()
+	case "slow":
+		return r.slowPeer(t, d)
 	case "found":
 		return r.findText(d.CmdArgs[0].Key)
 	case "load":
@@ -101,7 +103,7 @@
 
 // startMesh creates a mesh and starts its daemons. Each line of the input is a slot "name
 // service centre". The argument feed sets the feed policy; cut names a data centre whose
-// daemons cannot reach the platform.
+// daemons cannot reach the platform; settle is how long a daemon waits for its peers.
 func (r *scriptRunner) startMesh(t *testing.T, d *datadriven.TestData) string {
 	m, err := mesh.New(2000)
 	if err != nil {
@@ -118,6 +120,9 @@
 	if feed != "" {
 		m.SetPolicies(schema.Policies_builder{Feed: proto.String(feed)}.Build())
 	}
+	if d.HasArg("settle") {
+		m.SetSettleTimeout(scanDuration(t, d, "settle"))
+	}
 	model := standin.NewBackendModel(backendCapacity, 120, 2*time.Millisecond).
 		WithColdStart(500 * time.Millisecond).WithRestartDelay(200 * time.Millisecond)
 	for line := range strings.SplitSeq(d.Input, "\n") {
@@ -132,6 +137,25 @@
 	return "ok\n"
 }
 
+func scanDuration(t *testing.T, d *datadriven.TestData, name string) time.Duration {
+	var text string
+	d.ScanArgs(t, name, &text)
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// slowPeer lists the daemon of a slot at an address that drops all packets for some time after
+// the first one.
+func (r *scriptRunner) slowPeer(t *testing.T, d *datadriven.TestData) string {
+	slot := r.mesh.Slot(d.CmdArgs[0].Key)
+	slot.SetListedPeerAddress(newRelay(t, slot.PeerAddress(), scanDuration(t, d, "for")))
+	r.mesh.PublishInstances()
+	return "ok\n"
+}
+
 // shareAddresses adds slots to several meshes at once, and returns the number of addresses for
 // callers that more than one slot has.
 func shareAddresses(t *testing.T, d *datadriven.TestData) string {
@@ -183,12 +207,8 @@
 	d.MaybeScanArgs(t, "out", &out)
 	d.MaybeScanArgs(t, "withdrawn", &withdrawn)
 	d.MaybeScanArgs(t, "without", &without)
-	if unconfirmed := ""; d.HasArg("unconfirmed") {
-		d.ScanArgs(t, "unconfirmed", &unconfirmed)
-		bound, err := time.ParseDuration(unconfirmed)
-		if err != nil {
-			t.Fatal(err)
-		}
+	if d.HasArg("unconfirmed") {
+		bound := scanDuration(t, d, "unconfirmed")
 		b.SetPolicy(schema.Policy_builder{ReadUnconfirmed: durationpb.New(bound)}.Build())
 	}
 	b.SetVersion(version)
--- a/pkg/platform/policy_test.go
+++ b/pkg/platform/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -32,15 +33,31 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			result := ""
 			switch f[1] {
-			case "listed":
-				g.AddPeers(f[2:])
-			case "heard":
-				g.MarkSynced(f[2])
+			case "listed": // listed [peer ...] [further peer ...]: the peers to ask
+				peers, further := f[2:], []string(nil)
+				if i := slices.Index(peers, "further"); i >= 0 {
+					peers, further = peers[:i], peers[i+1:]
+				}
+				g.AddPeers(peers, further)
+			case "heard", "starting": // an answer of a peer that has started, or is starting itself
+				if next := g.RecordAnswer(f[2], f[1] == "starting"); next != "" {
+					result = ", ask " + next
+				}
+			case "failed":
+				result = ", not needed"
+				if delay, needed := g.RecordFailure(f[2]); needed {
+					result = ", again after " + delay.String()
+				}
 			case "holds":
 				hasVersion = true
 			}
-			fmt.Fprintf(&out, "%s: ready %t\n", line, g.Ready(start.Add(elapsed), hasVersion))
+			fmt.Fprintf(&out, "%s: ready %t", line, g.Ready(start.Add(elapsed), hasVersion))
+			if g.Starting() {
+				out.WriteString(", starting")
+			}
+			out.WriteString(result + "\n")
 		}
 		return out.String()
 	})
--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -6,20 +6,46 @@
 	"github.com/lycheehead/lycheehead/pkg/lock"
 )
 
-// StartupGate decides when a newly started daemon may serve. The daemon keeps
-// no versions across restarts, so it first asks its peers for theirs. The gate
+const (
+	// minRetryDelay and maxRetryDelay bound the exponential backoff after which a peer
+	// that did not answer is asked again.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = time.Second
+	// maxStartupPeers is how many peers are asked at most. If a third of the daemons were not
+	// restarted, all of 24 random ones were in 1 of 17,000 starts.
+	maxStartupPeers = 24
+)
+
+// StartupGate decides when a newly started daemon may serve, and which peers it asks. The
+// daemon keeps no versions across restarts, so it first asks its peers for theirs. The gate
 // opens once the daemon holds a version and has processed the answer of every
 // peer, or once the bound has passed and it holds a version from any source. A
 // platform that returns stale data is therefore trusted on its own only if no
-// peer answers in time. A StartupGate is safe for concurrent use. Use NewStartupGate
-// to create one.
+// peer answers in time.
+//
+// The load pattern is a restart of many daemons at once on machines that are short of processor
+// time, beside a stale platform: peers do not answer in time, and those that do have just been
+// started themselves and know nothing. A peer that fails to answer is therefore asked again, also
+// after the gate has opened at the bound. While only starting peers have answered, further ones
+// are asked. A StartupGate is safe for concurrent use. Use NewStartupGate to create one.
 type StartupGate struct {
 	// mu has rank lock.Config and guards the fields below.
-	mu         *lock.Mutex
-	deadline   time.Time
-	synced     map[string]bool
+	mu       *lock.Mutex
+	deadline time.Time
+	// asked holds the peers that are asked by name, and further those that may be.
+	asked      map[string]*startupPeer
+	further    []string
 	peersKnown bool
-	open       bool
+	// settled states that a peer has answered that is not starting itself.
+	settled bool
+	open    bool
+}
+
+// startupPeer is the state of a peer that is asked at startup.
+type startupPeer struct {
+	answered bool
+	// retryDelay is the delay after the next failure.
+	retryDelay time.Duration
 }
 
 // NewStartupGate returns the gate of a daemon that starts now and waits for
@@ -28,29 +54,63 @@
 	return &StartupGate{
 		mu:       lock.New(lock.Config),
 		deadline: now.Add(bound),
-		synced:   make(map[string]bool),
+		asked:    make(map[string]*startupPeer),
 	}
 }
 
-// AddPeers adds the names of peers to wait for. Until it has been called, if only
-// with an empty list, the gate opens no earlier than the bound.
-func (g *StartupGate) AddPeers(peers []string) {
+// AddPeers adds the names of peers that are asked, and of further ones, in the order in which
+// they may be asked. Until it has been called, if only with empty lists, the gate opens no
+// earlier than the bound.
+func (g *StartupGate) AddPeers(peers, further []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.peersKnown = true
 	for _, p := range peers {
-		if !g.synced[p] {
-			g.synced[p] = false
+		g.ask(p)
+	}
+	g.further = append(g.further, further...)
+}
+
+// ask adds a peer that is asked, if it is not one yet. The caller holds g.mu.
+func (g *StartupGate) ask(name string) *startupPeer {
+	p, ok := g.asked[name]
+	if !ok {
+		p = &startupPeer{retryDelay: minRetryDelay}
+		g.asked[name] = p
+	}
+	return p
+}
+
+// RecordAnswer records that a peer has reported its version and that the version has been
+// processed. starting states that the peer is starting itself. It returns the name of a further
+// peer to ask, or the empty string.
+func (g *StartupGate) RecordAnswer(name string, starting bool) (next string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ask(name).answered = true
+	g.settled = g.settled || !starting
+	for !g.settled && len(g.further) > 0 && len(g.asked) < maxStartupPeers {
+		next, g.further = g.further[0], g.further[1:]
+		if _, ok := g.asked[next]; !ok {
+			g.ask(next)
+			return next
 		}
 	}
+	return ""
 }
 
-// MarkSynced records that a peer has reported its version and that the version
-// has been processed.
-func (g *StartupGate) MarkSynced(peer string) {
+// RecordFailure records that a peer that was asked did not answer. It returns the delay after
+// which to ask it again, or false if its answer is no longer needed.
+func (g *StartupGate) RecordFailure(name string) (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.synced[peer] = true
+	p := g.ask(name)
+	if p.answered || g.open && g.settled {
+		return 0, false
+	}
+	delay := p.retryDelay
+	p.retryDelay = min(2*delay, maxRetryDelay)
+	return delay, true
 }
 
 // Ready reports whether the daemon may serve, given whether it holds a version.
@@ -64,13 +124,21 @@
 	if !hasVersion {
 		return false
 	}
-	g.open = !now.Before(g.deadline) || g.peersKnown && g.allSynced()
+	g.open = !now.Before(g.deadline) || g.peersKnown && g.allAnswered()
 	return g.open
 }
 
-func (g *StartupGate) allSynced() bool {
-	for _, synced := range g.synced {
-		if !synced {
+// Starting reports whether the daemon's version may be older than that of its peers: the gate is
+// closed, or it opened at the bound and no peer that has started has answered since.
+func (g *StartupGate) Starting() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.open || !g.settled && !(g.peersKnown && g.allAnswered())
+}
+
+func (g *StartupGate) allAnswered() bool {
+	for _, p := range g.asked {
+		if !p.answered {
 			return false
 		}
 	}
