Give the sidecar's scripts of uploads and shortage what they depend on

uploads: a request whose deadline is after the last response of a planned stop is accepted only in its first 2.5 s, which is what the product promises. The script sent such uploads after 2.35 s, and beside load they arrived too late and were refused as leaving (seen at lines 3 and 35 beside six busy processes).

shortage: 'wait 100ms' stood for a request reaching its backend server; the next one overtook it beside load (1 of 12 runs). 'reached' waits for it now. 'limit-unknown': the tokens of a customer may be held by the other daemon, which has a fifth of the time left, 160 ms, to answer. The process did not run for 266 to 420 ms at times in these runs.

--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -300,6 +301,13 @@
 	return seen
 }
 
+// hasSeen reports whether a request for a path was received since the last call of drainSeen.
+func (b *fakeBackend) hasSeen(path string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.ContainsFunc(b.seen, func(line string) bool { return strings.HasPrefix(line, "GET "+path+" ") })
+}
+
 // runs returns how often each request has run, by its id.
 func (b *fakeBackend) runs() map[string]int {
 	b.mu.Lock()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -383,14 +383,19 @@
 			f.t.Fatal(err)
 		}
 		f.conn, f.reader = c, bufio.NewReader(c)
-	case "send": // send path [key]: sends a request without waiting for responses
+	case "send": // send path [key|none]: sends a request without waiting for responses
 		f.requests++
-		key := callerKey
-		if len(args) > 2 {
-			key = args[2]
+		authorization := "Authorization: Bearer " + callerKey + "\r\n"
+		switch {
+		case len(args) > 2 && args[2] == "none":
+			authorization = ""
+		case len(args) > 2:
+			authorization = "Authorization: Bearer " + args[2] + "\r\n"
 		}
-		_, _ = fmt.Fprintf(f.conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 800\r\nAuthorization: Bearer %s\r\n\r\n",
-			args[1], f.requests, key)
+		_, _ = fmt.Fprintf(f.conn, "GET %s HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p-%d\r\nX-Deadline-Ms: 800\r\n%s\r\n",
+			args[1], f.requests, authorization)
+	case "reached": // reached m1 path: waits until a request has reached the backend server
+		f.waitFor(func() bool { return f.backends[args[1]].hasSeen(args[2]) })
 	case "half": // half path [ms]: sends a request without the end of its body, with a deadline of 800 ms by default
 		f.requests++
 		deadline := "800"
@@ -468,7 +473,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	f.t.Fatal("daemons not ready within 6 s")
+	f.t.Fatal("not true within 6 s")
 }
 
 func (f *testFleet) start(name, service, centre, control string) {
