--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/lycheehead/lycheehead/pkg/customer"
 )
@@ -311,8 +310,8 @@
 		if s.healthPath != "" && !strings.HasPrefix(s.healthPath, "/") {
 			d.add(Warning, e.position, "%s: health path %q does not begin with a slash", label, s.healthPath)
 		}
-		if text := negative("max connections", int64(s.maxConnections)); text != "" {
-			d.add(Warning, e.position, "%s: %s", label, text)
+		if s.maxConnections < 0 {
+			d.add(Warning, e.position, "%s: max connections %d is negative", label, s.maxConnections)
 		}
 	}
 }
