Remember how slow backend servers are, and assume equal latencies

Cause: a daemon forgot the run times of a server with a half-life of 2 s. With 67 daemons, each hears of each server every few seconds, so that it sent 13 % of the requests to servers half as fast beside fast ones with free slots. There 21 % of the reads were late, elsewhere 6 %. Change: the slowness of an instance relative to all lasts with a half-life of 30 s. An instance without a recent report is taken to answer as late as the mean instead of to be as loaded, since otherwise all daemons crowd the fast ones under load. The mean run time of an old report loses its weight as its load does.

--- a/pkg/upstream/balancer.go
+++ b/pkg/upstream/balancer.go
@@ -113,6 +113,8 @@
 type Placement struct {
 	instance fleet.Instance
 	report   LoadReport
+	// slowness is the expected slowness of the instance.
+	slowness float64
 	// runTime is the expected run time of the request.
 	runTime  time.Duration
 	inflight int
@@ -144,7 +146,7 @@
 	limit := p.limit()
 	mean := p.runTime
 	if p.report.meanRunTime > 0 {
-		mean = p.report.meanRunTime
+		mean += time.Duration(p.reportWeight * float64(p.report.meanRunTime-p.runTime))
 	}
 	load := math.Max(p.reportedLoad, float64(p.inflight))
 	queue := math.Max(0, load+1-limit) / limit
@@ -224,6 +226,7 @@
 	avoidUntil   time.Time
 	unavailables int
 	failures     failureRate
+	slowness     slowness
 }
 
 // reportWeight returns the share of the last report that has not decayed.
@@ -239,7 +242,7 @@
 	centre    string
 	instances *table.Table[string, instanceState]
 	// runTimes, responseSizes and failureRates hold estimates per kind of request.
-	runTimes      *table.Table[runTimeKey, time.Duration]
+	runTimes      *table.Table[string, time.Duration]
 	responseSizes *table.Table[string, int]
 	failureRates  *table.Table[string, float64]
 	// unreachableHosts are the hosts whose daemons do not answer.
@@ -269,7 +272,7 @@
 		host:             host,
 		centre:           centre,
 		instances:        table.New[string, instanceState](lock.Routes),
-		runTimes:         table.New[runTimeKey, time.Duration](lock.Routes),
+		runTimes:         table.New[string, time.Duration](lock.Routes),
 		responseSizes:    table.New[string, int](lock.Routes),
 		failureRates:     table.New[string, float64](lock.Routes),
 		unreachableHosts: table.New[string, bool](lock.Routes),
@@ -294,10 +297,11 @@
 	eligible := make([]int, 0, len(instances))
 	var inBackoff []int
 	observed := newObservations(now)
+	means := meanRunTimes[P]{balancer: b}
 	for n := range instances {
 		i := &instances[n]
 		s, _ := b.instances.Get(i.ID())
-		observed.add(i.Centre(), s)
+		observed.add(i.Centre(), s, s.slowness.at(now, means.get(s.slowness.kind)))
 		if slices.Contains(tried, i.ID()) || b.Unreachable(i.Address().Host()) {
 			continue
 		}
@@ -335,7 +339,7 @@
 
 func (b *Balancer[P]) placement(now time.Time, r Request, i fleet.Instance) Placement {
 	s, _ := b.instances.Get(i.ID())
-	weight := s.reportWeight(now)
+	weight, slowness := s.reportWeight(now), s.slowness.at(now, b.MeanRunTime(s.slowness.kind))
 	return Placement{
 		instance:     i,
 		report:       s.report,
@@ -343,9 +347,10 @@
 		reportedLoad: float64(s.report.running+s.report.waiting) * weight,
 		reportWeight: weight,
 		failures:     s.failures,
+		slowness:     slowness,
 		local:        i.Address().Host() == b.host,
 		sameCentre:   i.Centre() == b.centre,
-		runTime:      b.runTime(i.ID(), r.kind, now.Sub(s.reportedAt)),
+		runTime:      b.runTime(r.kind, slowness),
 		transferSize: b.transferSize(r),
 
 		objective: r.objective,
@@ -407,7 +412,7 @@
 		p := b.placement(observed.now, r, *i)
 		p.refused = refused
 		p.failureRate = observed.excessFailures(i.Centre(), p.failures)
-		p.reportedLoad += p.limit() * observed.assumedLoad(i.Centre(), p.reportWeight, p.report.limit > 0)
+		p.reportedLoad += p.limit() * observed.assumedLoad(i.Centre(), p.reportWeight, p.report.limit > 0, p.slowness)
 		if c := b.costModel.Cost(p); c < bestCost {
 			best, bestCost = p, c
 		}
@@ -419,13 +424,16 @@
 // called once for each request that Pick or Assign placed. The report is the zero value if
 // none was received.
 func (b *Balancer[P]) Done(now time.Time, id string, r Request, result AttemptResult, report LoadReport) {
-	b.recordRunTime(id, r.kind, report.meanRunTimeOfKind)
+	mean := b.recordRunTime(r.kind, report.meanRunTimeOfKind)
 	b.recordKindFailure(r.kind, result)
 	b.instances.Update(id, func(s instanceState, _ bool) (instanceState, bool) {
 		s.inflight = max(0, s.inflight-1)
 		if report.limit > 0 {
 			s.report, s.reportedAt = report, now
 		}
+		if report.meanRunTimeOfKind > 0 {
+			s.slowness = s.slowness.record(now, r.kind, report.meanRunTimeOfKind, mean)
+		}
 		s.record(now, result)
 		return s, true
 	})
@@ -450,5 +458,4 @@
 // are not in keep. Without regular calls, the state of past instances accumulates.
 func (b *Balancer[P]) Sweep(keep map[string]bool) {
 	b.instances.Sweep(func(id string, s instanceState) bool { return s.inflight > 0 || keep[id] })
-	b.runTimes.Sweep(func(key runTimeKey, _ time.Duration) bool { return key.instance == "" || keep[key.instance] })
 }
--- a/pkg/upstream/estimates.go
+++ b/pkg/upstream/estimates.go
@@ -2,36 +2,34 @@
 
 import "time"
 
-// runTimeHalfLife is the half-life of the difference between the run time that an instance has last
-// reported and the mean of all instances. Without a half-life, an instance that was slow for a while
-// would get no further requests and could not show that it is fast again.
-const runTimeHalfLife = 2 * time.Second
+// runTime returns the expected run time of a kind of request at an instance of the given slowness.
+func (b *Balancer[P]) runTime(kind string, slowness float64) time.Duration {
+	mean, known := b.runTimes.Get(kind)
+	if !known {
+		return defaultRunTime
+	}
+	return time.Duration(float64(mean) * slowness)
+}
 
-// runTimeKey is a kind of request at an instance. The key with an empty instance
-// holds the mean over all instances.
-type runTimeKey struct {
-	instance, kind string
+// meanRunTimes looks up mean run times. It keeps the last one, since most reports of the instances
+// of a service are of the same kind.
+type meanRunTimes[P CostModel] struct {
+	balancer *Balancer[P]
+	kind     string
+	mean     time.Duration
 }
 
-// runTime returns the expected run time of a kind of request at an instance, given the age of the
-// instance's last report: what it has reported, and increasingly the mean of all instances as that
-// report ages. A kind that has not been observed there gets the mean.
-func (b *Balancer[P]) runTime(instance, kind string, age time.Duration) time.Duration {
-	mean, known := b.runTimes.Get(runTimeKey{kind: kind})
-	own, observed := b.runTimes.Get(runTimeKey{instance: instance, kind: kind})
-	switch {
-	case observed && known:
-		return mean + time.Duration(decay(age, runTimeHalfLife)*float64(own-mean))
-	case known:
-		return mean
+func (m *meanRunTimes[P]) get(kind string) time.Duration {
+	if kind != m.kind {
+		m.kind, m.mean = kind, m.balancer.MeanRunTime(kind)
 	}
-	return defaultRunTime
+	return m.mean
 }
 
 // MeanRunTime returns the mean run time of a kind of request over all instances, or zero if
 // none has been observed.
 func (b *Balancer[P]) MeanRunTime(kind string) time.Duration {
-	d, _ := b.runTimes.Get(runTimeKey{kind: kind})
+	d, _ := b.runTimes.Get(kind)
 	return d
 }
 
@@ -73,15 +71,18 @@
 	})
 }
 
-func (b *Balancer[P]) recordRunTime(instance, kind string, runTime time.Duration) {
+// recordRunTime records the mean run time of a kind of request that an instance has reported, and
+// returns that over all instances.
+func (b *Balancer[P]) recordRunTime(kind string, runTime time.Duration) time.Duration {
+	mean := runTime
 	if runTime <= 0 {
-		return
+		return mean
 	}
-	b.runTimes.Put(runTimeKey{instance: instance, kind: kind}, runTime)
-	b.runTimes.Update(runTimeKey{kind: kind}, func(mean time.Duration, ok bool) (time.Duration, bool) {
-		if !ok {
-			return runTime, true
+	b.runTimes.Update(kind, func(before time.Duration, ok bool) (time.Duration, bool) {
+		if ok {
+			mean = before + time.Duration(float64(runTime-before)*meanWeight)
 		}
-		return mean + time.Duration(float64(runTime-mean)*meanWeight), true
+		return mean, true
 	})
+	return mean
 }
--- a/pkg/upstream/observations.go
+++ b/pkg/upstream/observations.go
@@ -24,8 +24,8 @@
 //
 // Loads: it addresses demand that triples within seconds, or in one data centre. An instance from
 // which this daemon has no recent report would appear idle if its load were forgotten, and all
-// daemons would send their requests to the instances that they know least of. Its load is assumed
-// to be that of the others instead.
+// daemons would send their requests to the instances that they know least of. It is assumed to
+// answer as late as the others instead.
 type observations struct {
 	now     time.Time
 	centres []centreObservations
@@ -45,12 +45,13 @@
 	rates, weight float64
 	// responses and failures are decayed numbers of responses.
 	responses, failures float64
-	// loads are loads as fractions of the limits, and reports how much of them has not decayed.
-	loads, reports float64
+	// latencies are expected latencies as multiples of the usual run time, and reports how much of
+	// them has not decayed.
+	latencies, reports float64
 }
 
-// add adds the state of an instance in a data centre.
-func (o *observations) add(centre string, s instanceState) {
+// add adds the state of an instance in a data centre, and its slowness.
+func (o *observations) add(centre string, s instanceState, slowness float64) {
 	c := o.centre(centre)
 	if c == nil {
 		o.centres = append(o.centres, centreObservations{centre: centre})
@@ -65,7 +66,7 @@
 	}
 	if s.report.limit > 0 {
 		weight := s.reportWeight(o.now)
-		c.loads += weight * float64(s.report.running+s.report.waiting) / float64(s.report.limit)
+		c.latencies += weight * slowness * latencyAt(float64(s.report.running+s.report.waiting)/float64(s.report.limit))
 		c.reports += weight
 	}
 }
@@ -101,14 +102,26 @@
 	return min(1, rate*min(1, max(0, rate-common)/(common*fullExcess+minExcess))+centreShare*(own.failureRate()-best))
 }
 
+// latencyAt returns the latency at a backend server of usual speed as a multiple of the run time when
+// it is idle. load is a fraction of its limit.
+func latencyAt(load float64) float64 {
+	return 1 + saturationSlowdown*min(load, 1) + (1+saturationSlowdown)*max(0, load-1)
+}
+
+// loadAt is the inverse of latencyAt. It is zero for latencies below that of an idle server.
+func loadAt(latency float64) float64 {
+	return max(0, min(1, (latency-1)/saturationSlowdown)) + max(0, latency-1-saturationSlowdown)/(1+saturationSlowdown)
+}
+
 // assumedLoad returns the load of an instance, as a fraction of its limit, that is assumed in place
 // of the part of its last report that has decayed. weight is the part that has not, and reported
-// states that there was a report.
-func (o observations) assumedLoad(centre string, weight float64, reported bool) float64 {
+// states that there was a report. All daemons prefer the instances that answer sooner, so that a fast
+// one is taken to be so busy, and a slow one to be so idle, that both answer after the same time.
+func (o observations) assumedLoad(centre string, weight float64, reported bool, slowness float64) float64 {
 	c := o.centre(centre)
-	mean := c.loads / (c.reports + assumedIdle)
+	latency := (c.latencies + assumedIdle) / (c.reports + assumedIdle)
 	if !reported {
-		return mean * newInstanceLoad
+		return loadAt(latency) * newInstanceLoad
 	}
-	return mean * (1 - weight)
+	return loadAt(latency/slowness) * (1 - weight)
 }
