--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -38,7 +38,7 @@
 	datadriven.Walk(t, "testdata/process", func(t *testing.T, path string) {
 		t.Parallel()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			p := &process{dir: t.TempDir(), ready: make(chan struct{})}
+			p := &process{dir: t.TempDir(), ready: make(chan struct{}), opened: make(chan struct{})}
 			p.writeFiles(t)
 			p.start(t, bin, d)
 			defer p.kill()
@@ -47,6 +47,13 @@
 					p.result.WriteString(strings.TrimSpace(line) + ": " + err.Error() + "\n")
 				}
 			}
+			if p.result.String() != d.Expected {
+				for _, s := range p.streams {
+					if s != nil {
+						t.Logf("%s: %s", d.Pos, s)
+					}
+				}
+			}
 			return p.result.String()
 		})
 	})
@@ -75,8 +82,10 @@
 	process *os.Process
 	ended   chan struct{}
 	state   *os.ProcessState
-	// ready is closed by the step that writes the settings.
-	ready  chan struct{}
+	// ready is closed by the step that writes the settings, and opened once the process has
+	// opened them.
+	ready, opened chan struct{}
+
 	result strings.Builder
 }
 
@@ -236,23 +245,33 @@
 		go s.read()
 		return w, s, nil
 	}
-	// The deadline ends the write once the pipe is full.
-	_ = w.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-	if _, err := w.Write(make([]byte, 1<<20)); !errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, nil, err
+	// The deadline ends the write once the pipe is full. A write that begins after its deadline
+	// writes nothing, also if the pipe is empty.
+	for total := 0; ; {
+		_ = w.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		n, err := w.Write(make([]byte, 1<<20))
+		total += n
+		switch {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, nil, err
+		case n == 0 && total > 0:
+			return w, s, nil
+		}
 	}
-	return w, s, nil
 }
 
 // writeSettings serves the settings file: each time that it is opened, its reader gets the
 // settings.
 func (p *process) writeSettings(file, text string) {
-	for {
+	for first := true; ; first = false {
 		// Waits until the process opens the file.
 		f, err := os.OpenFile(file, os.O_WRONLY, 0)
 		if err != nil {
 			return
 		}
+		if first {
+			close(p.opened)
+		}
 		select {
 		case <-p.ready:
 			_, _ = f.WriteString(text)
@@ -299,6 +318,15 @@
 		}
 	case "signal":
 		return p.process.Signal(signalsByName[words[1]])
+	case "opened": // opened: waits until the process has opened its settings, after it handles signals
+		return p.await(func() bool {
+			select {
+			case <-p.opened:
+				return true
+			default:
+				return false
+			}
+		})
 	case "settings":
 		close(p.ready)
 	case "half":
