Keep the position of a configuration received from another daemon

Cause: a daemon that received a configuration which the store has lost took the revision of the item as its position. Where the same content had been written again, others stated a later position, so that it asked for the same configuration with each message, and could keep another content of the version than they. Change: it takes the position that the message states. Found by review; the spread scripts pass as before, none fails without it.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -282,7 +282,7 @@
 	lost := storedConfig{version: m.GetLostVersion(), at: replica.NewPosition(m.GetLostEra(), m.GetLostRevision())}
 	if m.HasConfig() {
 		i := m.GetConfig()
-		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), lost.at.Era(), m.GetFrom()) {
+		if g.applyLostConfig(now, replica.NewItem(i.GetKey(), i.GetValue(), i.GetRevision()), lost.at, m.GetFrom()) {
 			g.recheckPeers(m.GetFrom())
 		}
 		return
@@ -303,10 +303,11 @@
 	})
 }
 
-// applyLostConfig applies a configuration that the store had in an era and has lost, and reports
-// whether it replaces the one in force. It is not merged into the replica, as the store does not
+// applyLostConfig applies a configuration that the store had at a position and has lost, and reports
+// whether it replaces the one in force. That position may be later than the revision of the item,
+// if the same content was written again. The item is not merged into the replica, as the store does not
 // have it.
-func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, era uint64, from string) bool {
+func (s *fleetState) applyLostConfig(now time.Time, i replica.Item, at replica.Position, from string) bool {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	c, err := s.decode(i)
@@ -314,7 +315,7 @@
 	if err != nil || !ok {
 		return false
 	}
-	next := storedConfig{item: i, version: published.config.Version(), at: replica.NewPosition(era, i.Revision())}
+	next := storedConfig{item: i, version: published.config.Version(), at: at}
 	if !next.supersedes(s.configSource) {
 		return false
 	}
@@ -324,8 +325,8 @@
 		return false
 	}
 	s.events.stateChange("configuration that the store has lost received", "version", next.version, "at", next.at.String(), "from", from)
-	published.apply(now, s, i, era)
-	s.configEra = noEra
+	published.apply(now, s, i, at.Era())
+	s.configSource.at, s.configEra = at, noEra
 	s.reviewConfig()
 	s.onChange(now)
 	return true
