Stop reporting a start some seconds after the startup gate has opened

Cause: where all daemons were restarted and an asked peer was gone, nobody who had started was left to answer, so that all reported for good that they were starting, and later starts waited for their bound. A version could also go out unmarked if the gate opened while the answer was made. Change: a daemon reports its start until 5 s after the bound, when gossip has corrected its version, and reads that state before the version.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -39,7 +39,7 @@
 	case r.HasOffer():
 		return d.handleOffer(now, from, r.GetOffer())
 	case r.HasPull():
-		return d.handlePull(r.GetPull())
+		return d.handlePull(now, r.GetPull())
 	case r.HasGossip():
 		return d.handleGossip(now, from, r.GetGossip())
 	case r.HasBorrow():
@@ -71,15 +71,17 @@
 	return ack(false)
 }
 
-func (d *Daemon) handlePull(p *schema.Pull) *schema.Answer {
+func (d *Daemon) handlePull(now time.Time, p *schema.Pull) *schema.Answer {
 	peerVersion := platform.NewVersion(p.GetVersion(), platform.DigestFromBytes(p.GetDigest()))
+	// Read before the version, which may become the one in force in between.
+	starting := d.feed.startup.Starting(now)
 	update := schema.Update_builder{Empty: proto.Bool(true)}.Build()
 	if d.core.store.Version().Compare(peerVersion) > 0 {
 		if u, ok := d.core.store.UpdateFrom(peerVersion.Digest()); ok {
 			update = encodeUpdate(u)
 		}
 	}
-	if d.feed.startup.Starting() {
+	if starting {
 		update.SetStarting(true)
 	}
 	return schema.Answer_builder{Update: update}.Build()
--- a/pkg/platform/policy_test.go
+++ b/pkg/platform/policy_test.go
@@ -54,7 +54,7 @@
 				hasVersion = true
 			}
 			fmt.Fprintf(&out, "%s: ready %t", line, g.Ready(start.Add(elapsed), hasVersion))
-			if g.Starting() {
+			if g.Starting(start.Add(elapsed)) {
 				out.WriteString(", starting")
 			}
 			out.WriteString(result + "\n")
--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -11,6 +11,9 @@
 	// that did not answer is asked again.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// gossipTime is the time after the bound in which gossip corrects a version that is not the
+	// one in force. Daemons compare versions every two seconds.
+	gossipTime = 5 * time.Second
 	// maxStartupPeers is how many peers are asked at most. If a third of the daemons were not
 	// restarted, all of 24 random ones were in 1 of 17,000 starts.
 	maxStartupPeers = 24
@@ -129,11 +132,15 @@
 }
 
 // Starting reports whether the daemon's version may be older than that of its peers: the gate is
-// closed, or it opened at the bound and no peer that has started has answered since.
-func (g *StartupGate) Starting() bool {
+// closed, or it opened at the bound less than gossipTime ago and no peer that has started has
+// answered since.
+func (g *StartupGate) Starting(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.open || !g.settled && !(g.peersKnown && g.allAnswered())
+	if !g.open {
+		return true
+	}
+	return !g.settled && !(g.peersKnown && g.allAnswered()) && now.Before(g.deadline.Add(gossipTime))
 }
 
 func (g *StartupGate) allAnswered() bool {
