--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -136,18 +136,18 @@
 }
 
 // begin records that the body is requested. If more urgent bodies have overtaken it, begin first
-// waits until they have arrived. It returns false if ctx ends before.
-func (f *inflow) begin(ctx context.Context) bool {
+// waits until they have arrived. requested is false if ctx ends before.
+func (f *inflow) begin(ctx context.Context) (overtaken, requested bool) {
 	turn := f.pacer.link.Begin(time.Now(), f.entry)
 	if turn == nil {
-		return true
+		return false, true
 	}
 	f.pacer.tick(time.Now())
 	select {
 	case <-turn:
-		return true
+		return true, true
 	case <-ctx.Done():
-		return false
+		return true, false
 	}
 }
 
@@ -241,9 +241,13 @@
 	begin := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, req.deadline.Add(-req.suspended.Elapsed()))
 	defer cancel()
-	requested := f.begin(ctx)
-	if waited := time.Since(begin); waited > time.Millisecond {
-		a.events.request(logs.Success, "body overtaken", req.id, "route", req.route, "bytes", req.body.length, "waited", waited.String(),
+	overtaken, requested := f.begin(ctx)
+	if overtaken {
+		class := logs.Success
+		if !requested {
+			class = logs.Refusal
+		}
+		a.events.request(class, "body overtaken", req.id, "route", req.route, "bytes", req.body.length, "waited", time.Since(begin).String(),
 			"requested", requested)
 	}
 	if requested {
