Leave callers of a starting daemon time to return

Cause: the Retry-After could be all of the third of their time that callers wait for, of which the response takes some milliseconds, so that they did not return. Found by review. Change: it is 0.3 of their time at most.

--- a/pkg/caller/startup.go
+++ b/pkg/caller/startup.go
@@ -11,8 +11,9 @@
 	// maxUnspread is the part of the longest time that all callers wait at most. Over the rest their
 	// return is spread also where they will not wait until the expected end.
 	maxUnspread = 0.7
-	// patienceShare is the part of the time that a caller has left for which it waits to return.
-	patienceShare = 1.0 / 3
+	// patienceShare is the part of the time that a caller has left after which it returns at the
+	// latest. Callers wait for a third of it, and the response takes a part of that to arrive.
+	patienceShare = 0.3
 	// minStartupLimit is the least value of the longest time, of which maxUnspread are minStartupWait.
 	minStartupLimit = 72 * time.Millisecond
 	// overrunShare is how much longer a start that takes longer than expected is expected to take,
--- a/pkg/caller/startup_test.go
+++ b/pkg/caller/startup_test.go
@@ -16,8 +16,8 @@
 // Each line of waits is the time since the start began and the time that a caller has left; the
 // waits for the least, the mean and the greatest random number are printed. herd sends a request each
 // millisecond, of which those before the process is ready return once, and prints how many return too
-// early and the most requests in 50 ms from then on. With unspread, the random number is 0; with fixed, all callers are told the same time,
-// lengthened by up to a half at random.
+// early and the most requests in 50 ms from then on. With unspread, the random number is 0; with
+// fixed, all callers are told the same time, lengthened by up to a half at random.
 func TestStartup(t *testing.T) {
 	begin := time.Unix(1_700_000_000, 0)
 	datadriven.RunTest(t, "testdata/startup", func(t *testing.T, d *datadriven.TestData) string {
