Bound the assumed load by twice the mean load

Cause: in an idle fleet a fast instance without a recent report was taken to be overloaded, since it would answer as late as the others only then. Found by review.

--- a/pkg/upstream/observations.go
+++ b/pkg/upstream/observations.go
@@ -10,6 +10,8 @@
 	// the mean load. It is below 1, so that new instances are found soon, and above 0, since all
 	// daemons find one at the same time.
 	newInstanceLoad = 0.5
+	// maxRelativeLoad is the largest load that is assumed of an instance, relative to the mean load.
+	maxRelativeLoad = 2
 )
 
 // observations sums up what this daemon has observed of the instances of a service, by data
@@ -45,9 +47,9 @@
 	rates, weight float64
 	// responses and failures are decayed numbers of responses.
 	responses, failures float64
-	// latencies are expected latencies as multiples of the usual run time, and reports how much of
-	// them has not decayed.
-	latencies, reports float64
+	// loads are loads as fractions of the limits, latencies expected latencies as multiples of the
+	// usual run time, and reports how much of both has not decayed.
+	loads, latencies, reports float64
 }
 
 // add adds the state of an instance in a data centre, and its slowness.
@@ -66,7 +68,9 @@
 	}
 	if s.report.limit > 0 {
 		weight := s.reportWeight(o.now)
-		c.latencies += weight * slowness * latencyAt(float64(s.report.running+s.report.waiting)/float64(s.report.limit))
+		load := float64(s.report.running+s.report.waiting) / float64(s.report.limit)
+		c.loads += weight * load
+		c.latencies += weight * slowness * latencyAt(load)
 		c.reports += weight
 	}
 }
@@ -116,12 +120,14 @@
 // assumedLoad returns the load of an instance, as a fraction of its limit, that is assumed in place
 // of the part of its last report that has decayed. weight is the part that has not, and reported
 // states that there was a report. All daemons prefer the instances that answer sooner, so that a fast
-// one is taken to be so busy, and a slow one to be so idle, that both answer after the same time.
+// one is taken to be so busy, and a slow one to be so idle, that both answer after the same time. It
+// is not taken to be much busier than the others, since fast ones answer sooner where all are idle.
 func (o observations) assumedLoad(centre string, weight float64, reported bool, slowness float64) float64 {
 	c := o.centre(centre)
-	latency := (c.latencies + assumedIdle) / (c.reports + assumedIdle)
+	load := c.loads / (c.reports + assumedIdle)
 	if !reported {
-		return loadAt(latency) * newInstanceLoad
+		return load * newInstanceLoad
 	}
-	return loadAt(latency/slowness) * (1 - weight)
+	latency := (c.latencies + assumedIdle) / (c.reports + assumedIdle)
+	return min(loadAt(latency/slowness), load*maxRelativeLoad) * (1 - weight)
 }
