--- a/internal/soak/store.go
+++ b/internal/soak/store.go
@@ -51,8 +51,8 @@
 // restore writes versions, makes the store unavailable for a moment and restores it from an older
 // copy, which lacks them. The last write of each key is repeated some time later; if the step is
 // reversed, daemons hold the last version when it is lost, and the operators write it with other
-// content instead, which has to be in force before the next one. Then comes another version, at a revision that the store had assigned
-// before.
+// content instead, which has to be in force before the next one. Then comes another version, at a
+// revision that the store had assigned before.
 func (f *fleet) restore(s step) error {
 	f.storeGuard.acquire()
 	defer f.storeGuard.release()
--- a/pkg/bandwidth/grant.go
+++ b/pkg/bandwidth/grant.go
@@ -26,8 +26,8 @@
 	maxUnrequested = 200 * time.Millisecond
 )
 
-// advance refuses bodies that would arrive too late, resumes overtaken ones, and grants others. fresh is the body that
-// has just been submitted, or nil.
+// advance refuses bodies that would arrive too late, resumes overtaken ones, and grants others.
+// fresh is the body that has just been submitted, or nil.
 func (l *Link) advance(now time.Time, fresh *Entry) {
 	l.sort(now)
 	l.refuseHopeless(now, fresh)
--- a/pkg/bandwidth/link_test.go
+++ b/pkg/bandwidth/link_test.go
@@ -30,8 +30,8 @@
 //	submit NAME BYTES RANK OBJECTIVE DEADLINE AFTER [elsewhere|call]
 //	begin NAME, progress NAME, end NAME BYTES, record BYTES, after DURATION
 //
-// After each line, it prints the entries whose state has changed or whose turn has come, and with "show" the backlog,
-// the pace and the counts.
+// After each line, it prints the entries whose state has changed or whose turn has come, and with
+// "show" the backlog, the pace and the counts.
 func runSteps(t *testing.T, d *datadriven.TestData) string {
 	var mbit float64
 	d.ScanArgs(t, "mbit", &mbit)
