--- a/internal/http1/budget.go
+++ b/internal/http1/budget.go
@@ -18,8 +18,7 @@
 // If there is no memory left for a body, one of the least urgent gives way, and of these the
 // largest: a body that does not end grows until it is the largest, so it cannot keep the memory
 // from others as urgent as itself, nor from bodies of the usual sizes. It is designed for a few
-// responses of many MB, or without end, beside many of some KB. A nil Budget has no limit. It is
-// safe for concurrent use.
+// responses of many MB, or without end, beside many of some KB. A nil Budget has no limit. It is safe for concurrent use.
 type Budget struct {
 	limit    int64
 	rejected atomic.Int64
--- a/internal/http1/read_body.go
+++ b/internal/http1/read_body.go
@@ -43,10 +43,10 @@
 }
 
 // ReadBody reads a body of at most limit bytes. length is its declared size, or -1. The
-// memory is reserved as the body arrives, not as it is declared. need is the need of the request,
-// whose work does not matter. abort makes r return an error at once; it is called if the body has
-// to give way to others. If it is nil, the body does not give way. The error is ErrBodyTooLarge if
-// the body exceeds the limit or the budget, and io.ErrUnexpectedEOF if it is shorter than declared.
+// memory is reserved as the body arrives, not as it is declared. abort makes r return an
+// error at once; it is called if the body has to give way to others. If it is nil, the
+// body does not give way. need is the need of the request, whose work does not matter. The error is ErrBodyTooLarge if the body exceeds the limit or the
+// budget, and io.ErrUnexpectedEOF if it is shorter than declared.
 func (b *Budget) ReadBody(r io.Reader, length, limit int64, need caller.Need, abort func()) ([]byte, *Lease, error) {
 	lease := &Lease{budget: b, need: need, abort: abort}
 	data, err := readAll(r, length, limit, func(n int64) bool { return b.grow(lease, n) })
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -315,6 +315,7 @@
 	a.protocol.SetTarget(h, id, remaining)
 	httpReq := http1.NewRequest(req.method, req.target, req.host, h)
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
+	httpReq.SetNeed(req.need(0))
 	a.identifyResponse(httpReq, req.id)
 	if req.atMostOnce {
 		httpReq.SetFreshConnOnly()
