--- a/internal/http1/budget.go
+++ b/internal/http1/budget.go
@@ -1,24 +1,19 @@
 package http1
 
 import (
-	"slices"
 	"sync/atomic"
-	"time"
 
-	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 )
 
-// evictableBytes is the size from which a body may have to give way to others. Bodies of the usual
-// sizes stay below it, and get memory before larger ones whatever their urgency: a faulty backend
-// server of an urgent service, whose bodies do not end, would keep it from them otherwise.
+// evictableBytes is the size from which a body that is being read may have to give way to
+// smaller ones. Bodies of the usual sizes stay below it.
 const evictableBytes = 64 << 10
 
 // Budget bounds the bytes of the bodies that a process holds in memory at the same time.
-// If there is no memory left for a body, one of the least urgent gives way, and of these the
-// largest: a body that does not end grows until it is the largest, so it cannot keep the memory
-// from others as urgent as itself, nor from bodies of the usual sizes. It is designed for a few
-// responses of many MB, or without end, beside many of some KB. A nil Budget has no limit. It is safe for concurrent use.
+// If there is no memory left for a body, a larger one that is still being read gives way:
+// a body that does not end grows until it is the largest, so it cannot keep the memory
+// from others. A nil Budget has no limit. It is safe for concurrent use.
 type Budget struct {
 	limit    int64
 	rejected atomic.Int64
@@ -58,15 +53,15 @@
 	if l.evicted {
 		return nil, false
 	}
-	if missing := b.used + n - b.limit; missing > 0 {
-		if victims, ok = b.chooseVictims(l, n, missing); !ok {
-			return nil, false
+	for b.used+n > b.limit {
+		victim := b.largest()
+		if victim == nil || victim.bytes <= l.bytes+n {
+			return victims, false
 		}
-	}
-	for _, v := range victims {
-		b.used -= v.bytes
-		v.bytes, v.evicted = 0, true
-		delete(b.reading, v)
+		b.used -= victim.bytes
+		victim.bytes, victim.evicted = 0, true
+		delete(b.reading, victim)
+		victims = append(victims, victim)
 	}
 	b.used += n
 	l.bytes += n
@@ -76,40 +71,15 @@
 	return victims, true
 }
 
-// claim is a body that has or wants a number of bytes.
-type claim struct {
-	lease *Lease
-	bytes int64
-}
-
-// need returns the need of a claim, of which each byte counts as a nanosecond of work.
-func (c claim) need() caller.Need {
-	n := c.lease.need
-	return caller.NewNeed(n.Priority(), n.Objective(), n.Deadline(), time.Duration(c.bytes))
-}
-
-// chooseVictims returns the bodies that give way, so that a lease can take n more bytes although
-// there are not enough by the number of missing ones. If that body itself is to give way, none does.
-func (b *Budget) chooseVictims(l *Lease, n, missing int64) (victims []*Lease, ok bool) {
-	var claims []claim
-	for o := range b.reading {
-		if o != l {
-			claims = append(claims, claim{lease: o, bytes: o.bytes})
+// largest returns the largest lease of a body that may have to give way, or nil.
+func (b *Budget) largest() *Lease {
+	var found *Lease
+	for l := range b.reading {
+		if found == nil || l.bytes > found.bytes {
+			found = l
 		}
 	}
-	if l.bytes+n > evictableBytes {
-		claims = append(claims, claim{lease: l, bytes: l.bytes + n})
-	}
-	for missing > 0 {
-		i := caller.Victim(claims, claim.need)
-		if i < 0 || claims[i].lease == l {
-			return nil, false
-		}
-		missing -= claims[i].bytes
-		victims = append(victims, claims[i].lease)
-		claims = slices.Delete(claims, i, i+1)
-	}
-	return victims, true
+	return found
 }
 
 // readEnd records that the body of a lease has been read whole, so that it does not have to
@@ -163,7 +133,7 @@
 	return b.rejected.Load()
 }
 
-// Evicted returns how many bodies had to give way to others while they were read.
+// Evicted returns how many bodies had to give way to smaller ones.
 func (b *Budget) Evicted() int64 {
 	if b == nil {
 		return 0
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/wirecheck"
-	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // bufferBytes is the size of each buffer of a connection.
@@ -224,7 +223,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		out, _, err := c.readBody(resp, r.need)
+		out, _, err := c.readBody(resp)
 		return out, err
 	}
 	return nil, fmt.Errorf("%w: more than %d interim responses", ErrResponseLost, maxInterim)
@@ -253,7 +252,7 @@
 			interim++
 			continue
 		}
-		out, keep, err := c.readBody(head, r.need)
+		out, keep, err := c.readBody(head)
 		if err != nil {
 			return nil, false, err
 		}
@@ -304,12 +303,12 @@
 
 // readBody reads the body of a response. keep reports whether the server keeps the
 // connection open afterwards.
-func (c *conn) readBody(head *http.Response, need caller.Need) (resp *Response, keep bool, err error) {
+func (c *conn) readBody(head *http.Response) (resp *Response, keep bool, err error) {
 	length := head.ContentLength
 	if head.Request.Method == http.MethodHead {
 		length = 0
 	}
-	body, lease, err := c.budget.ReadBody(head.Body, length, c.budget.bodyLimit(), need, func() { _ = c.Close() })
+	body, lease, err := c.budget.ReadBody(head.Body, length, c.budget.bodyLimit(), func() { _ = c.Close() })
 	if err != nil {
 		return nil, false, fmt.Errorf("%w: read body: %w", ErrResponseLost, err)
 	}
--- a/internal/http1/endless_test.go
+++ b/internal/http1/endless_test.go
@@ -19,7 +19,6 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
-	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // endlessResponses are the beginning of a response and what follows it without end.
@@ -141,7 +140,7 @@
 	address := freeAddress(t)
 	budget := http1.NewBudget(4 << 20)
 	server, err := http1.ListenPipelined(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, lease, err := budget.ReadBody(r.Body, r.ContentLength, 1<<20, caller.Need{}, nil)
+		_, lease, err := budget.ReadBody(r.Body, r.ContentLength, 1<<20, nil)
 		defer lease.Release()
 		if errors.Is(err, http1.ErrBodyTooLarge) {
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
--- a/internal/http1/message.go
+++ b/internal/http1/message.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // Request is a request to the server. Use NewRequest to create one. It is used for one
@@ -27,7 +25,6 @@
 	match          func(http.Header) Match
 	onSkip         func(status int, h http.Header)
 	closeAfter     func(status int, h http.Header) bool
-	need           caller.Need
 }
 
 // Match states whether a response belongs to a request.
@@ -85,10 +82,6 @@
 	r.closeAfter = closeAfter
 }
 
-// SetNeed sets the need by which the body of the response competes for memory. Without one it is
-// that of the most urgent requests.
-func (r *Request) SetNeed(need caller.Need) { r.need = need }
-
 func (r *Request) hasBody() bool { return r.length != 0 }
 
 // writeHead writes the request line and the header fields.
--- a/internal/http1/read_body.go
+++ b/internal/http1/read_body.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
 // minBodyBuffer is the initial size of the buffer for a body of unknown size.
@@ -14,8 +12,6 @@
 // Lease is a part of a Budget that is held until Release.
 type Lease struct {
 	budget *Budget
-	// need is the need of the request whose body it is.
-	need caller.Need
 	// abort ends the reading of the body, nil if it cannot be ended.
 	abort func()
 	// bytes and evicted are guarded by the budget's lock. evicted states that the body had
@@ -32,10 +28,9 @@
 	}
 }
 
-// Lease takes n bytes for a request of the given need, whose work does not matter, or returns
-// ErrBodyTooLarge if there are not that many.
-func (b *Budget) Lease(n int64, need caller.Need) (*Lease, error) {
-	l := &Lease{budget: b, need: need}
+// Lease takes n bytes, or returns ErrBodyTooLarge if there are not that many.
+func (b *Budget) Lease(n int64) (*Lease, error) {
+	l := &Lease{budget: b}
 	if !b.grow(l, n) {
 		return nil, fmt.Errorf("%w: no memory for %d bytes at present", ErrBodyTooLarge, n)
 	}
@@ -44,14 +39,14 @@
 
 // ReadBody reads a body of at most limit bytes. length is its declared size, or -1. The
 // memory is reserved as the body arrives, not as it is declared. abort makes r return an
-// error at once; it is called if the body has to give way to others. If it is nil, the
-// body does not give way. need is the need of the request, whose work does not matter. The error is ErrBodyTooLarge if the body exceeds the limit or the
+// error at once; it is called if the body has to give way to smaller ones. If it is nil, the
+// body does not give way. The error is ErrBodyTooLarge if the body exceeds the limit or the
 // budget, and io.ErrUnexpectedEOF if it is shorter than declared.
-func (b *Budget) ReadBody(r io.Reader, length, limit int64, need caller.Need, abort func()) ([]byte, *Lease, error) {
-	lease := &Lease{budget: b, need: need, abort: abort}
+func (b *Budget) ReadBody(r io.Reader, length, limit int64, abort func()) ([]byte, *Lease, error) {
+	lease := &Lease{budget: b, abort: abort}
 	data, err := readAll(r, length, limit, func(n int64) bool { return b.grow(lease, n) })
 	if !b.readEnd(lease) {
-		return nil, nil, fmt.Errorf("%w: it gave way to others", ErrBodyTooLarge)
+		return nil, nil, fmt.Errorf("%w: it gave way to smaller ones", ErrBodyTooLarge)
 	}
 	if err != nil {
 		lease.Release()
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -256,7 +256,7 @@
 		a.finish(time.Now(), decision.entry, backend.Cancelled)
 		return r
 	}
-	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), req.need(0), a.budget); err != nil {
+	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), a.budget); err != nil {
 		a.finish(time.Now(), decision.entry, backend.Cancelled)
 		a.events.request(logs.Refusal, "reading request body failed", req.id, "error", err.Error())
 		if errors.Is(err, http1.ErrBodyTooLarge) {
@@ -315,7 +315,6 @@
 	a.protocol.SetTarget(h, id, remaining)
 	httpReq := http1.NewRequest(req.method, req.target, req.host, h)
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
-	httpReq.SetNeed(req.need(0))
 	a.identifyResponse(httpReq, req.id)
 	if req.atMostOnce {
 		httpReq.SetFreshConnOnly()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -135,7 +135,7 @@
 	if limit := cfg.Limits().MaxBodyBytes(); limit > 0 && r.ContentLength > limit {
 		return decision, refusedResponse(caller.ReasonTooLarge, 0)
 	}
-	b, err := in.readBody(w, r, decision.request.need(0))
+	b, err := in.readBody(w, r, decision.request.deadline)
 	switch {
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		return decision, refusedResponse(caller.ReasonOverload, jitter(minRetryAfter))
@@ -242,7 +242,7 @@
 
 // readBody buffers a body of up to maxBufferedBody bytes, until the deadline of the request or
 // the end of a planned stop at the latest. The rest of a larger one is streamed.
-func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, need caller.Need) (body, error) {
+func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body, error) {
 	if r.ContentLength == 0 {
 		return body{}, nil
 	}
@@ -254,11 +254,11 @@
 	if size < 0 {
 		size = maxBufferedBody
 	}
-	lease, err := in.budget.Lease(size, need)
+	lease, err := in.budget.Lease(size)
 	if err != nil {
 		return body{}, err //nolint:wrapcheck // only compared
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(need.Deadline()); err != nil {
+	if err := http.NewResponseController(w).SetReadDeadline(deadline); err != nil {
 		lease.Release()
 		return body{}, fmt.Errorf("set body read deadline: %w", err)
 	}
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -86,12 +86,12 @@
 // disconnect before it has sent the whole body, and a truncated one must not be sent to a
 // backend server. Of a larger body that the sender withholds, readRest reads the start, until
 // the deadline of the request at the latest.
-func (b *body) readRest(now, deadline time.Time, need caller.Need, budget *http1.Budget) error {
+func (b *body) readRest(now, deadline time.Time, budget *http1.Budget) error {
 	switch {
 	case b.replayable():
 		return nil
 	case b.bufferable():
-		return b.readWhole(now, need, budget)
+		return b.readWhole(now, budget)
 	case b.receipt.MayBegin():
 		return nil
 	}
@@ -117,8 +117,8 @@
 }
 
 // readWhole reads the rest of a body.
-func (b *body) readWhole(now time.Time, need caller.Need, budget *http1.Budget) error {
-	lease, err := budget.Lease(b.length, need)
+func (b *body) readWhole(now time.Time, budget *http1.Budget) error {
+	lease, err := budget.Lease(b.length)
 	if err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -192,7 +192,6 @@
 	}
 	httpReq := http1.NewRequest(req.method, req.target, req.host, h)
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
-	httpReq.SetNeed(req.need(0))
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	offer := &handover.Offer{}
