--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -110,8 +110,8 @@
 	return m
 }
 
-// runs reports whether the process at the other end of a connection runs on the machine.
-func (m machine) runs(remote string) bool {
+// isSource reports whether a connection from a remote address comes from the machine.
+func (m machine) isSource(remote string) bool {
 	a, err := netip.ParseAddrPort(remote)
 	if err != nil {
 		return false
--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -217,9 +217,9 @@
 	return c.version == other.version && bytes.Equal(c.item.Value(), other.item.Value())
 }
 
-// recordConfig records that the store had the configuration in force at a position. The caller
+// recordStoredAt records that the store had the configuration in force at a position. The caller
 // holds applyMu.
-func (s *fleetState) recordConfig(at replica.Position) {
+func (s *fleetState) recordStoredAt(at replica.Position) {
 	s.configEra = at.Era()
 	if s.configSource.at.Before(at) {
 		s.configSource.at = at
@@ -234,7 +234,7 @@
 	}
 	era := s.replica.Position().Era()
 	if i, ok := s.replica.Get(s.configSource.item.Key()); ok && bytes.Equal(i.Value(), s.configSource.item.Value()) {
-		s.recordConfig(replica.NewPosition(era, i.Revision()))
+		s.recordStoredAt(replica.NewPosition(era, i.Revision()))
 	}
 	if s.configEra == era {
 		s.lostConfig.Store(nil)
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -104,7 +104,7 @@
 	old := s.config.Load()
 	next := storedConfig{item: i, version: c.config.Version(), at: replica.NewPosition(era, i.Revision())}
 	if old != nil && next.sameContent(s.configSource) {
-		s.recordConfig(next.at)
+		s.recordStoredAt(next.at)
 		return
 	}
 	if old != nil && !next.supersedes(s.configSource) {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -183,7 +183,7 @@
 	parent, isCall := in.calls.parent(meta.id)
 	// A caller must not get ahead of others by the id that it chooses. Backend servers never see an
 	// API key, so a request with one comes from a customer, and they run on the daemon's machine.
-	isCall = isCall && meta.key == "" && in.machine.runs(r.RemoteAddr)
+	isCall = isCall && meta.key == "" && in.machine.isSource(r.RemoteAddr)
 	if isCall {
 		decision.request.makeCall(now, parent, route.Priority())
 	}
--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -39,8 +39,8 @@
 	asked      map[string]*startupPeer
 	further    []string
 	peersKnown bool
-	// settled states that a peer has answered that is not starting itself.
-	settled bool
+	// confirmed states that a peer has answered that is not starting itself.
+	confirmed bool
 	open    bool
 }
 
@@ -91,8 +91,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ask(name).answered = true
-	g.settled = g.settled || !starting
-	for !g.settled && len(g.further) > 0 && len(g.asked) < maxStartupPeers {
+	g.confirmed = g.confirmed || !starting
+	for !g.confirmed && len(g.further) > 0 && len(g.asked) < maxStartupPeers {
 		next, g.further = g.further[0], g.further[1:]
 		if _, ok := g.asked[next]; !ok {
 			g.ask(next)
@@ -108,7 +108,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.ask(name)
-	if p.answered || g.open && g.settled {
+	if p.answered || g.open && g.confirmed {
 		return 0, false
 	}
 	delay := p.retryDelay
@@ -140,7 +140,7 @@
 	if !g.open {
 		return true
 	}
-	return !g.settled && !(g.peersKnown && g.allAnswered()) && now.Before(g.deadline.Add(gossipTime))
+	return !g.confirmed && !(g.peersKnown && g.allAnswered()) && now.Before(g.deadline.Add(gossipTime))
 }
 
 func (g *StartupGate) allAnswered() bool {
