--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -41,7 +41,7 @@
 	peersKnown bool
 	// confirmed states that a peer has answered that is not starting itself.
 	confirmed bool
-	open    bool
+	open      bool
 }
 
 // startupPeer is the state of a peer that is asked at startup.
