--- a/pkg/upstream/observations.go
+++ b/pkg/upstream/observations.go
@@ -109,7 +109,7 @@
 // latencyAt returns the latency at a backend server of usual speed as a multiple of the run time when
 // it is idle. load is a fraction of its limit.
 func latencyAt(load float64) float64 {
-	return 1 + saturationSlowdown*min(load, 1) + (1+saturationSlowdown)*max(0, load-1)
+	return 1 + saturationSlowdown*load + max(0, load-1)
 }
 
 // loadAt is the inverse of latencyAt. It is zero for latencies below that of an idle server.
