Set the limit of an idle connection before a request is done

What callers saw: an HTTP/1.0 caller that keeps its connection had no response to its next request until the idle limit of the connection. Cause: the reader of the connection is woken by a time limit in the past once the request is done. The limit of an idle connection was set after that, and hid it if the reader had not run yet. Change: the idle limit is set first.

--- a/internal/http1/exchange.go
+++ b/internal/http1/exchange.go
@@ -303,8 +303,10 @@
 		_ = e.awaitTurn()
 		_ = e.conn.raw.Close()
 	}
-	close(e.done)
+	// The reader of the connection is woken by a time limit once done is closed. The limit of an idle
+	// connection must be set before, as it would hide that one.
 	e.conn.finish(e)
+	close(e.done)
 }
 
 // setReset sets whether the connection is reset when it is closed, also by the end of the
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -335,6 +335,18 @@
 		for i := range 40 {
 			_, _ = io.WriteString(s.conn, fmt.Sprintf(requestTexts["get"], fmt.Sprintf("/wait/%d", i)))
 		}
+	case "succession": // succession n: an HTTP/1.0 client sends n requests, each after the response to the last one
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for k := range n {
+			_, _ = fmt.Fprintf(s.conn, "GET /fast/%d HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", k)
+			if text := s.read(http.MethodGet); text != fmt.Sprintf("  200 for /fast/%d\n", k) {
+				return fmt.Sprintf("  request %d:%s", k, text)
+			}
+		}
+		return "  all answered\n"
 	case "release":
 		close(s.handler.gate(args[1]))
 	case "settle":
