Hold the slots in calls_short longer than the calls wait

The script held both slots for 400 ms and let calls of 300 ms begin some 60 ms later: where the machine was busy, a slot became free before the calls' deadlines, and they were refused (503) instead of late (504). The slots are held for 1.5 s now, by requests of a route of their own; what is checked is unchanged.

--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -257,10 +257,10 @@
 }
 
 // workOf returns the time that a request takes, which is the second segment of the paths
-// /long/, /nested/ and /parent/.
+// /held/, /long/, /nested/ and /parent/.
 func workOf(path string) time.Duration {
 	segments := strings.Split(path, "/")
-	if len(segments) < 3 || segments[1] != "long" && segments[1] != "nested" && segments[1] != "parent" {
+	if len(segments) < 3 || !slices.Contains([]string{"held", "long", "nested", "parent"}, segments[1]) {
 		return 0
 	}
 	d, _ := time.ParseDuration(segments[2])
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -53,6 +53,7 @@
 {"resource-type":"routes","metadata":{"name":"read"},"spec":{"hostname":"h.example","prefix":"/read/","type":"safe","timeout-s":1,"target-latency-s":0.5,"priority":1,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"book"},"spec":{"hostname":"h.example","prefix":"/book/","type":"unsafe","timeout-s":1,"target-latency-s":0.5,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"open"},"spec":{"hostname":"h.example","prefix":"/open/","type":"safe","timeout-s":0.4,"target-latency-s":0.2,"priority":1,"service":"b","max-attempts":2,"allow-anonymous":true}},
+{"resource-type":"routes","metadata":{"name":"held"},"spec":{"hostname":"h.example","prefix":"/held/","type":"safe","timeout-s":3,"target-latency-s":2,"priority":1,"service":"b","max-attempts":2,"allow-anonymous":true}},
 {"resource-type":"routes","metadata":{"name":"long"},"spec":{"hostname":"h.example","prefix":"/long/","type":"unsafe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"nested"},"spec":{"hostname":"h.example","prefix":"/nested/","type":"safe","timeout-s":2,"target-latency-s":1,"priority":0,"service":"a","max-attempts":2}},
 {"resource-type":"routes","metadata":{"name":"parent"},"spec":{"hostname":"h.example","prefix":"/parent/","type":"safe","timeout-s":0.9,"target-latency-s":0.5,"priority":0,"service":"a","max-attempts":2}},
@@ -570,7 +571,7 @@
 	r.Host = "h.example"
 	r.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", f.t.Name(), f.requests))
 	r.Header.Set("X-Deadline-Ms", "800")
-	if strings.HasPrefix(args[2], "/long/") || strings.HasPrefix(args[2], "/nested/") {
+	if slices.ContainsFunc([]string{"/held/", "/long/", "/nested/"}, func(p string) bool { return strings.HasPrefix(args[2], p) }) {
 		r.Header.Set("X-Deadline-Ms", "5000")
 	}
 	r.Header.Set("X-Tenant", "forged")
