End one-shot commands also if the HTTP library handles the signal late

go-zero calls signal.Notify in a goroutine that its package starts at init.

restoreDefaults now also waits for proc.Done, which go-zero closes when it takes a signal, and then resets and raises again. go-zero registers once, so that this reset is final.

The programs that the test starts no longer inherit SIGHUP and SIGINT as ignored.

--- a/cmd/lycheehead/process_test.go
+++ b/cmd/lycheehead/process_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -34,6 +35,7 @@
 // program, its arguments say where the two output streams of the process lead, and each line
 // of its input is a step.
 func TestProcess(t *testing.T) {
+	defaultSignals()
 	bin := buildPrograms(t)
 	datadriven.Walk(t, "testdata/process", func(t *testing.T, path string) {
 		t.Parallel()
@@ -59,6 +61,17 @@
 	})
 }
 
+// defaultSignals makes the programs start with the default reaction to signals, also if the
+// tests were started by nohup or in the background of a shell. Those have the signals ignored,
+// which programs inherit, but not if the signals are handled.
+func defaultSignals() {
+	for _, s := range []os.Signal{syscall.SIGHUP, syscall.SIGINT} {
+		if signal.Ignored(s) {
+			signal.Notify(make(chan os.Signal, 1), s)
+		}
+	}
+}
+
 // buildPrograms builds the programs and returns the folder in which they are.
 func buildPrograms(t *testing.T) string {
 	dir := t.TempDir()
@@ -170,7 +183,8 @@
 
 // start starts a program. Its settings are a named pipe, so that it waits for them until the
 // step "settings". They are written at once unless the script says early, and are no settings
-// if it says invalid.
+// if it says invalid. If it says slow, one goroutine of the program runs at a time, so that those
+// that libraries start begin only when the first one waits.
 func (p *process) start(t *testing.T, bin string, d *datadriven.TestData) {
 	file := filepath.Join(p.dir, "settings")
 	if err := syscall.Mkfifo(file, keyMode); err != nil {
@@ -193,10 +207,14 @@
 			t.Fatal(err)
 		}
 	}
+	env := append(os.Environ(), "LYCHEEHEAD_NODE_FILE="+file)
+	if d.HasArg("slow") {
+		env = append(env, "GOMAXPROCS=1")
+	}
 	var err error
 	p.process, err = os.StartProcess(args[0], args, &os.ProcAttr{
 		Files: files,
-		Env:   append(os.Environ(), "LYCHEEHEAD_NODE_FILE="+file),
+		Env:   env,
 		Sys:   &syscall.SysProcAttr{Setpgid: true},
 	})
 	if err != nil {
--- a/cmd/lycheehead/signals.go
+++ b/cmd/lycheehead/signals.go
@@ -36,13 +36,19 @@
 // restoreDefaults makes signals end the process at once, as those do that have arrived.
 func (s *signals) restoreDefaults() {
 	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// The HTTP library begins to handle signals in a goroutine of its own, possibly after the
+	// reset. It does so once, so that a second reset is final. It does not say which signal it
+	// received.
+	go func() {
+		<-proc.Done()
+		signal.Reset(syscall.SIGTERM, syscall.SIGINT)
+		raise(syscall.SIGTERM)
+	}()
 	select {
 	case received := <-s.stop:
 		raise(received)
 	case received := <-s.reload:
 		raise(received)
-	case <-proc.Done():
-		raise(syscall.SIGTERM)
 	default:
 	}
 }
