Wait for the delivery of each signal in TestSignals

The test gave each signal 20 ms to arrive. Beside load 40 SIGTERM had not arrived by then: 1 failure in 1 run.

--- a/cmd/lycheehead/signals_test.go
+++ b/cmd/lycheehead/signals_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"os"
+	"os/signal"
 	"strings"
 	"syscall"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
@@ -19,11 +19,14 @@
 	datadriven.RunTest(t, "testdata/signals", func(t *testing.T, d *datadriven.TestData) string {
 		s := notifySignals()
 		for _, name := range strings.Fields(d.Input) {
+			arrived := make(chan os.Signal, 1)
+			signal.Notify(arrived, signalsByName[name])
 			if err := syscall.Kill(os.Getpid(), signalsByName[name]); err != nil {
 				t.Fatal(err)
 			}
-			// Signals of different kinds have no order.
-			time.Sleep(20 * time.Millisecond)
+			// Signals of different kinds have no order. Stop waits for the delivery to all channels.
+			<-arrived
+			signal.Stop(arrived)
 		}
 		var out strings.Builder
 		for _, c := range []struct {
