Run TestDelaySignalShutdown in a process of its own

go-zero handles one signal in the life of a process. The signal could also arrive before go-zero handled signals, for which the test gave it 50 ms; it now waits for proc.Done.

--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/zeromicro/go-zero/core/proc"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
 )
@@ -301,8 +305,17 @@
 }
 
 // TestDelaySignalShutdown checks that servers stay open after a termination signal. By
-// default go-zero closes them one second later.
+// default go-zero closes them one second later. It handles one signal in the life of a process,
+// so that the test runs in a process of its own.
 func TestDelaySignalShutdown(t *testing.T) {
+	if os.Getenv("SIGNAL_TEST") == "" {
+		cmd := exec.Command(os.Args[0], "-test.run=^TestDelaySignalShutdown$")
+		cmd.Env = append(os.Environ(), "SIGNAL_TEST=1")
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Errorf("%v: %s", err, out)
+		}
+		return
+	}
 	http1.DelaySignalShutdown(time.Hour)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -314,9 +327,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(50 * time.Millisecond)
-	if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	// The signal is sent again while go-zero does not handle signals yet.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGTERM)
+	for handled := false; !handled; {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-proc.Done():
+			handled = true
+		case <-time.After(50 * time.Millisecond):
+		}
 	}
 	time.Sleep(1300 * time.Millisecond)
 	c, err := net.Dial("tcp", address)
