Close the connections that a stop cuts before it cancels their requests

At its time limit, Shutdown ended the contexts of the open requests and then closed their connections. The connections are closed first now.

'cut 100' of TestPipeline has 100 requests open at the limit.

--- a/internal/http1/pipeline.go
+++ b/internal/http1/pipeline.go
@@ -305,10 +305,12 @@
 		s.closed.cut += n.cut
 		s.mu.Unlock()
 	}
-	s.cancel()
+	// A request that counts as cut gets no response from a handler that returns because its context
+	// has ended, so the connections are closed before the contexts end.
 	for _, c := range s.openConns() {
 		_ = c.raw.Close()
 	}
+	s.cancel()
 	if err != nil {
 		return fmt.Errorf("shut down server: %w", err)
 	}
--- a/internal/http1/pipeline_test.go
+++ b/internal/http1/pipeline_test.go
@@ -82,7 +82,8 @@
 }
 
 // ServeHTTP implements http.Handler. The first segment of the path says what happens:
-// wait waits until the script releases the path or the client leaves.
+// wait waits until the script releases the path or the client leaves, and cancel answers once the
+// request has been cancelled.
 func (h *scriptedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.record("begins %s", r.URL.Path)
 	verb, _, _ := strings.Cut(r.URL.Path[1:], "/")
@@ -94,6 +95,8 @@
 			h.record("cancelled %s", r.URL.Path)
 			return
 		}
+	case "cancel":
+		<-r.Context().Done()
 	case "hold":
 		<-h.gate(r.URL.Path)
 		w.Header().Set("Connection", "close")
@@ -356,9 +359,13 @@
 		if err != nil {
 			s.t.Fatal(err)
 		}
-		for end := time.Now().Add(eventTimeout); s.handler.begun() < n && time.Now().Before(end); {
-			time.Sleep(10 * time.Millisecond)
+		s.awaitBegun(n)
+	case "cut": // cut n: n clients wait for responses as the server reaches its time limit
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			s.t.Fatal(err)
 		}
+		return s.cut(n)
 	case "arrives": // arrives: waits until bytes of the server have arrived
 		_ = s.conn.SetReadDeadline(time.Now().Add(eventTimeout))
 		_, _ = s.reader.Peek(1)
@@ -529,6 +536,39 @@
 	return "  lets handlers wait\n"
 }
 
+// awaitBegun waits until n requests have begun since the last call of drain.
+func (s *pipelineScript) awaitBegun(n int) {
+	for end := time.Now().Add(eventTimeout); s.handler.begun() < n && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// cut runs clients whose requests are answered once they are cancelled, shuts the server down, and
+// compares the responses with the requests that the server counts as cut.
+func (s *pipelineScript) cut(clients int) string {
+	conns := make([]net.Conn, clients)
+	for i := range conns {
+		c, err := net.Dial("tcp", s.address)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = fmt.Fprintf(c, requestTexts["get"], fmt.Sprintf("/cancel/%d", i))
+		conns[i] = c
+	}
+	s.awaitBegun(clients)
+	s.stop(settleTime)
+	answered := 0
+	for _, c := range conns {
+		_ = c.SetReadDeadline(time.Now().Add(eventTimeout))
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			_ = resp.Body.Close()
+			answered++
+		}
+	}
+	return fmt.Sprintf("  %d answered, %d cut\n", answered, s.server.CloseCounts().Cut())
+}
+
 // promptTime is the time within which a response is sent that waits for nothing.
 const promptTime = 100 * time.Millisecond
 
