Read the answer of a daemon that has stopped reading

TestMesh/poison failed at times beside load with "502 unknown" for a refusal. Cause, by logs: all crash reports had arrived and the daemon refused the request, then stopped reading its stream. If that reached the sender between the flush and the close of its side, or while it still wrote the body, the close or write failed ("close called for canceled stream") and the sender gave the try up as lost without reading the answer, so that a request that had not run was reported as unknown. A deferred body that the receiver stopped reading made the sender abort the stream, too.

Stream now returns ErrNotReading for this, and the sender reads the answer. If there is none, reading fails as before.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -212,7 +212,8 @@
 		}
 		return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
-	if err := e.sendInitial(w, body); err != nil {
+	// A daemon that has answered reads no more, and its answer decides.
+	if err := e.sendInitial(w, body); err != nil && !errors.Is(err, peerquic.ErrNotReading) {
 		return fail(err)
 	}
 	for {
@@ -260,9 +261,10 @@
 }
 
 // sendOrAbort sends a deferred body. If the caller's body is truncated, it aborts the
-// stream, so that the receiver does not treat the body as complete.
+// stream, so that the receiver does not treat the body as complete. It does not abort it if the
+// receiver reads no more, whose reply may still be arriving.
 func (e *exchange) sendOrAbort(body io.Reader) {
-	if err := e.send(body); err != nil {
+	if err := e.send(body); err != nil && !errors.Is(err, peerquic.ErrNotReading) {
 		e.stream.Abort()
 	}
 }
--- a/internal/peerquic/errors.go
+++ b/internal/peerquic/errors.go
@@ -20,6 +20,9 @@
 	// ErrInvalidMessage means that a message is too large or empty, or that it is a reply which
 	// is not the head of a valid response.
 	ErrInvalidMessage = eris.New("invalid message")
+	// ErrNotReading means that the peer reads no more of what is sent on a stream. It may have
+	// answered before: a daemon that refuses a request does not read the rest of its body.
+	ErrNotReading = eris.New("peer has stopped reading")
 )
 
 // withRefusal adds ErrUnreachable to an error if the peer refused the connection, which it does
--- a/internal/peerquic/stream.go
+++ b/internal/peerquic/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
@@ -15,7 +16,8 @@
 const codeAborted quic.StreamErrorCode = 1
 
 // Stream is either side of the exchange of one request and its answer. One goroutine may
-// read from it while another one writes, and Abort may be called at any time.
+// read from it while another one writes, and Abort may be called at any time. Methods that
+// write return ErrNotReading once the peer reads no more; its answer may still be read.
 type Stream struct {
 	stream *quic.Stream
 	reader *bufio.Reader
@@ -80,7 +82,7 @@
 func (s *Stream) Write(p []byte) (int, error) {
 	n, err := s.writer.Write(p)
 	if err != nil {
-		return n, fmt.Errorf("write body: %w", withRefusal(err))
+		return n, fmt.Errorf("write body: %w", s.sendError(err))
 	}
 	return n, nil
 }
@@ -88,7 +90,7 @@
 // Flush sends the buffered data.
 func (s *Stream) Flush() error {
 	if err := s.writer.Flush(); err != nil {
-		return fmt.Errorf("flush: %w", withRefusal(err))
+		return fmt.Errorf("flush: %w", s.sendError(err))
 	}
 	return nil
 }
@@ -100,11 +102,21 @@
 		return err
 	}
 	if err := s.stream.Close(); err != nil {
-		return fmt.Errorf("close stream: %w", err)
+		return fmt.Errorf("close stream: %w", s.sendError(err))
 	}
 	return nil
 }
 
+// sendError adds ErrNotReading or ErrUnreachable to an error of the sending side if that is
+// its cause. quic-go states the cause in the error of a write, but not in that of a close.
+func (s *Stream) sendError(err error) error {
+	var stopped *quic.StreamError
+	if errors.As(context.Cause(s.stream.Context()), &stopped) && stopped.Remote {
+		return fmt.Errorf("%w: %w", ErrNotReading, err)
+	}
+	return withRefusal(err)
+}
+
 // Abort aborts both directions. The peer sees an error instead of the end of the
 // stream.
 func (s *Stream) Abort() {
