Repeat the report of a crash until it is acknowledged

The run daemon reported a crash to each other daemon of the service once. If that call failed, the daemon did not count the crash, and its backend server was the third that a poison request crashed.

A report has a random id and the time since the crash. pkg/backend.CrashReports decides which report is outstanding for which daemon, and when it is sent again: at once, then after 200 ms, doubled up to 5 s, for a minute after the crash or until the daemon has left, with at most 256 reports for one daemon. Quarantine counts a report once, among the last 4096 of all daemons, and takes crashes as one by the time of the crash, since a late report could otherwise be taken for another crash's. The generic set of keys is table.Recent.

Daemons of earlier versions would count a repeated Death twice. What may have been received is therefore repeated in a probe (Gossip.crash), which they answer and otherwise ignore; what was certainly not received goes out as a Death again. Their reports have no id and count as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,7 @@
 	d.core.mesh.Serve(d)
 	d.feed.start()
 	d.core.tasks.start(d.sweep)
+	d.core.tasks.start(d.egress.reporter.run)
 	d.core.tasks.start(func() { d.monitor.Run(d.core.baseCtx, d.reportPause) })
 }
 
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -11,11 +11,8 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/lycheehead/lycheehead/internal/backendhttp"
 	"github.com/lycheehead/lycheehead/internal/http1"
-	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/handover"
@@ -48,8 +45,6 @@
 	// for nested work.
 	maxQueueWait       = 500 * time.Millisecond
 	maxNestedQueueWait = 30 * time.Millisecond
-	// crashReportTimeout bounds the report of a crash to one other daemon.
-	crashReportTimeout = time.Second
 	// bodyBufferBytes is the buffer size for reading bodies.
 	bodyBufferBytes = 16 << 10
 )
@@ -73,6 +68,7 @@
 	gate gate
 	// quarantine refuses requests during which backend servers have crashed repeatedly.
 	quarantine *backend.Quarantine
+	reporter   *crashReporter
 	client     *backendhttp.Client
 	// calls maps the tokens of running requests to their contexts.
 	calls *table.Table[string, caller.Context]
@@ -87,6 +83,7 @@
 		feed:        f,
 		gate:        g,
 		quarantine:  backend.NewQuarantine(),
+		reporter:    newCrashReporter(c),
 		calls:       table.New[string, caller.Context](lock.Calls),
 		instanceIDs: table.New[string, string](lock.Calls),
 	}
@@ -346,16 +343,13 @@
 func (e *egress) recordCrash(now time.Time, w *work) {
 	e.log.Warn("backend server died", "customer", w.context.Customer(), "route", w.route, "fingerprint", w.fingerprint)
 	e.quarantine.RecordCrash(now, requestKey(w))
-	request := schema.Request_builder{Death: schema.Death_builder{
-		Customer:    proto.String(w.context.Customer()),
-		Fingerprint: proto.Uint64(w.fingerprint),
-		Backend:     proto.String(e.self.Name()),
-	}.Build()}.Build()
+	var others []string
 	for _, b := range e.config().BackendsOf(w.service) {
 		if b.Name() != e.self.Name() {
-			e.tasks.start(func() { _, _ = e.callPeer(e.baseCtx, b.Name(), crashReportTimeout, request) })
+			others = append(others, b.Name())
 		}
 	}
+	e.reporter.report(now, requestKey(w), others)
 }
 
 // recordInstanceID records the backend server's identifier. A changed one means
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -49,8 +49,7 @@
 	case r.HasSettle():
 		return d.handleSettle(now, r.GetSettle())
 	case r.HasDeath():
-		m := r.GetDeath()
-		d.egress.quarantine.RecordCrash(now, backend.NewRequestKey(m.GetCustomer(), m.GetFingerprint()))
+		d.handleCrash(now, from, r.GetDeath())
 		return ack(false)
 	}
 	return nil
@@ -88,9 +87,12 @@
 }
 
 // handleGossip handles a gossip message and pulls the version of the sender if it is
-// newer. An empty message is a probe.
+// newer. A message without a sender is a probe, with which a crash report may be repeated.
 func (d *Daemon) handleGossip(now time.Time, from string, g *schema.Gossip) *schema.Answer {
 	if !g.HasFrom() {
+		if g.HasCrash() {
+			d.handleCrash(now, from, g.GetCrash())
+		}
 		return schema.Answer_builder{Gossip: &schema.Gossip{}}.Build()
 	}
 	d.replicator.mergeGossip(now, from, g)
@@ -126,6 +128,14 @@
 	return ack(false)
 }
 
+// handleCrash counts a crash report unless it is a repeated one.
+func (d *Daemon) handleCrash(now time.Time, from string, m *schema.Death) {
+	key := backend.NewRequestKey(m.GetCustomer(), m.GetFingerprint())
+	counted := d.egress.quarantine.RecordReport(now, from, m.GetId(), key, m.GetAge().AsDuration())
+	d.core.log.Info("crash report received", "from", from, "customer", key.Customer(), "fingerprint", key.Fingerprint(),
+		"age", m.GetAge().AsDuration().String(), "counted", counted)
+}
+
 // serveCall runs a call from another daemon at the backend server.
 func (d *Daemon) serveCall(ctx context.Context, m *schema.Call, s *peerquic.Stream) {
 	w := decodeWork(m, time.Now())
--- a/pkg/backend/quarantine.go
+++ b/pkg/backend/quarantine.go
@@ -54,31 +54,52 @@
 // concurrent use. Use NewQuarantine to create one.
 type Quarantine struct {
 	records *table.Table[RequestKey, crashRecord]
+	// counted holds the reports that were counted last.
+	counted *table.Recent[reportID]
 }
 
 // NewQuarantine returns an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{records: table.New[RequestKey, crashRecord](lock.Quarantine)}
+	return &Quarantine{
+		records: table.New[RequestKey, crashRecord](lock.Quarantine),
+		counted: table.NewRecent[reportID](lock.Quarantine, maxCountedReports),
+	}
 }
 
-// RecordCrash records that a backend server, here or at another daemon, crashed
-// while it was running a request. Two records of the same request within 200 ms are
-// taken to be of the same crash.
-func (q *Quarantine) RecordCrash(now time.Time, key RequestKey) {
+// RecordCrash records that a backend server, here or at another daemon, crashed at a time
+// while it was running a request. Two records of the same request whose times differ by less
+// than 200 ms are taken to be of the same crash.
+func (q *Quarantine) RecordCrash(at time.Time, key RequestKey) {
 	q.records.Update(key, func(v crashRecord, _ bool) (crashRecord, bool) {
-		since := now.Sub(v.lastCrash)
+		// Negative if the report of an earlier crash arrives after that of a later one.
+		since := at.Sub(v.lastCrash)
 		if since > crashRetention {
 			v.crashes = 0
 		}
-		if since < duplicateReportInterval {
+		if since.Abs() < duplicateReportInterval {
 			return v, true
 		}
 		v.crashes++
-		v.lastCrash = now
+		if since > 0 {
+			v.lastCrash = at
+		}
 		return v, true
 	})
 }
 
+// RecordReport records the report of a crash that another daemon has sent, age after the crash,
+// and reports whether it is counted. A report with the id of an earlier one from that daemon is
+// not, among the last 4096 of all daemons. The id is 0 for daemons of earlier versions, which do
+// not repeat reports. A report that arrives after an answer to the same request counts, though
+// its crash may have been before: answers are not remembered.
+func (q *Quarantine) RecordReport(now time.Time, from string, id uint64, key RequestKey, age time.Duration) bool {
+	if id != 0 && !q.counted.Add(reportID{from: from, id: id}) {
+		return false
+	}
+	q.RecordCrash(now.Add(-min(max(age, 0), reportLifetime)), key)
+	return true
+}
+
 // RecordAnswer records that a backend server ran a request without crashing.
 func (q *Quarantine) RecordAnswer(key RequestKey) {
 	if _, recorded := q.records.Get(key); recorded {
