Ask the peers behind one that cannot be reached at startup

What could happen: a `run` daemon that started beside a stale platform, among peers that were starting too or gone, never asked some of the peers that it knew, and served the stale version. Cause: the startup gate named a further peer only after an answer. The chain ended at the first one that could not be reached; where all of the first six could not, no further one was asked. Daemons in backoff when the peers were listed were left out. Change: the first failure of a peer adds a further one as well, until one that has started has answered. The bounds are those of before: further peers are asked until 5 s after the gate's bound, and at most 24 that do not fail. A further peer is not asked again after that time either. TestMesh/startup, restart and versions pass.

--- a/internal/daemon/replicator.go
+++ b/internal/daemon/replicator.go
@@ -62,12 +62,11 @@
 // pullAtStartup pulls the version in force from random peers in the background, as the startup
 // gate decides.
 func (r *replicator) pullAtStartup() {
-	now := time.Now()
 	rnd := newRand()
 	var local, remote []string
 	for _, i := range r.members.All() {
 		switch {
-		case i.Name() == r.self.Name() || i.Removed() || !r.members.Reachable(now, i.Name()):
+		case i.Name() == r.self.Name() || i.Removed() || i.PeerAddress() == "":
 		case i.Centre() == r.self.Centre():
 			local = append(local, i.Name())
 		default:
@@ -89,10 +88,13 @@
 }
 
 // pullUntilAnswered pulls the version of a daemon until the startup gate does not need its answer
-// any more.
+// any more, and starts pulling from a further daemon where the gate says so.
 func (r *replicator) pullUntilAnswered(name string) {
 	for !r.pull(name) {
-		delay, needed := r.feed.startup.RecordFailure(name)
+		delay, needed, next := r.feed.startup.RecordFailure(time.Now(), name)
+		if next != "" {
+			r.tasks.start(func() { r.pullUntilAnswered(next) })
+		}
 		if !needed || !r.sleep(delay) {
 			return
 		}
@@ -127,7 +129,7 @@
 			return false
 		}
 	}
-	if next := r.feed.startup.RecordAnswer(name, u.GetStarting()); next != "" {
+	if next := r.feed.startup.RecordAnswer(time.Now(), name, u.GetStarting()); next != "" {
 		r.tasks.start(func() { r.pullUntilAnswered(next) })
 	}
 	return true
--- a/pkg/platform/policy_test.go
+++ b/pkg/platform/policy_test.go
@@ -42,14 +42,18 @@
 				}
 				g.AddPeers(peers, further)
 			case "heard", "starting": // an answer of a peer that has started, or is starting itself
-				if next := g.RecordAnswer(f[2], f[1] == "starting"); next != "" {
+				if next := g.RecordAnswer(start.Add(elapsed), f[2], f[1] == "starting"); next != "" {
 					result = ", ask " + next
 				}
 			case "failed":
 				result = ", not needed"
-				if delay, needed := g.RecordFailure(f[2]); needed {
+				delay, needed, next := g.RecordFailure(start.Add(elapsed), f[2])
+				if needed {
 					result = ", again after " + delay.String()
 				}
+				if next != "" {
+					result += ", ask " + next
+				}
 			case "holds":
 				hasVersion = true
 			}
--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -14,8 +14,9 @@
 	// gossipTime is the time after the bound in which gossip corrects a version that is not the
 	// one in force. Daemons compare versions every two seconds.
 	gossipTime = 5 * time.Second
-	// maxStartupPeers is how many peers are asked at most. If a third of the daemons were not
-	// restarted, all of 24 random ones were in 1 of 17,000 starts.
+	// maxStartupPeers is how many peers are asked at most, not counting those that failed to
+	// answer. If a third of the daemons were not restarted, all of 24 random ones were in 1 of
+	// 17,000 starts.
 	maxStartupPeers = 24
 )
 
@@ -29,15 +30,19 @@
 // The load pattern is a restart of many daemons at once on machines that are short of processor
 // time, beside a stale platform: peers do not answer in time, and those that do have just been
 // started themselves and know nothing. A peer that fails to answer is therefore asked again, also
-// after the gate has opened at the bound. While only starting peers have answered, further ones
-// are asked. A StartupGate is safe for concurrent use. Use NewStartupGate to create one.
+// after the gate has opened at the bound. While no peer has answered that has started, a further
+// one is asked for each that is starting or fails, so that one that cannot be reached does not
+// keep those behind it from being asked. Further peers are asked until gossipTime after the bound.
+// A StartupGate is safe for concurrent use. Use NewStartupGate to create one.
 type StartupGate struct {
 	// mu has rank lock.Config and guards the fields below.
 	mu       *lock.Mutex
 	deadline time.Time
-	// asked holds the peers that are asked by name, and further those that may be.
+	// asked holds the peers that are asked by name, further those that may be, and failures the
+	// number of those that failed and have not answered since.
 	asked      map[string]*startupPeer
 	further    []string
+	failures   int
 	peersKnown bool
 	// confirmed states that a peer has answered that is not starting itself.
 	confirmed bool
@@ -46,7 +51,9 @@
 
 // startupPeer is the state of a peer that is asked at startup.
 type startupPeer struct {
-	answered bool
+	answered, failed bool
+	// further states that the peer is asked in addition to the first ones.
+	further bool
 	// retryDelay is the delay after the next failure.
 	retryDelay time.Duration
 }
@@ -87,35 +94,59 @@
 // RecordAnswer records that a peer has reported its version and that the version has been
 // processed. starting states that the peer is starting itself. It returns the name of a further
 // peer to ask, or the empty string.
-func (g *StartupGate) RecordAnswer(name string, starting bool) (next string) {
+func (g *StartupGate) RecordAnswer(now time.Time, name string, starting bool) (next string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ask(name).answered = true
-	g.confirmed = g.confirmed || !starting
-	for !g.confirmed && len(g.further) > 0 && len(g.asked) < maxStartupPeers {
-		next, g.further = g.further[0], g.further[1:]
-		if _, ok := g.asked[next]; !ok {
-			g.ask(next)
-			return next
-		}
+	p := g.ask(name)
+	if p.failed {
+		p.failed = false
+		g.failures--
 	}
-	return ""
+	p.answered = true
+	g.confirmed = g.confirmed || !starting
+	return g.askFurther(now)
 }
 
 // RecordFailure records that a peer that was asked did not answer. It returns the delay after
-// which to ask it again, or false if its answer is no longer needed.
-func (g *StartupGate) RecordFailure(name string) (time.Duration, bool) {
+// which to ask it again, or false if its answer is no longer needed. At the first failure of a
+// peer, next is the name of a further one to ask at once, or empty.
+func (g *StartupGate) RecordFailure(now time.Time, name string) (delay time.Duration, needed bool, next string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := g.ask(name)
 	if p.answered || g.open && g.confirmed {
-		return 0, false
+		return 0, false, ""
+	}
+	if !p.failed {
+		p.failed = true
+		g.failures++
+		next = g.askFurther(now)
+	}
+	if p.further && !now.Before(g.end()) {
+		return 0, false, next
 	}
-	delay := p.retryDelay
+	delay = p.retryDelay
 	p.retryDelay = min(2*delay, maxRetryDelay)
-	return delay, true
+	return delay, true, next
 }
 
+// askFurther returns a further peer to ask, which becomes one of those that are asked, or the
+// empty string if none is to be asked. The caller holds g.mu.
+func (g *StartupGate) askFurther(now time.Time) string {
+	for !g.confirmed && now.Before(g.end()) && len(g.further) > 0 && len(g.asked)-g.failures < maxStartupPeers {
+		next := g.further[0]
+		g.further = g.further[1:]
+		if _, ok := g.asked[next]; !ok {
+			g.ask(next).further = true
+			return next
+		}
+	}
+	return ""
+}
+
+// end returns the time from which gossip is relied on and no further peer is asked.
+func (g *StartupGate) end() time.Time { return g.deadline.Add(gossipTime) }
+
 // Ready reports whether the daemon may serve, given whether it holds a version.
 // Once true, it stays true.
 func (g *StartupGate) Ready(now time.Time, hasVersion bool) bool {
@@ -140,7 +171,7 @@
 	if !g.open {
 		return true
 	}
-	return !g.confirmed && !(g.peersKnown && g.allAnswered()) && now.Before(g.deadline.Add(gossipTime))
+	return !g.confirmed && !(g.peersKnown && g.allAnswered()) && now.Before(g.end())
 }
 
 func (g *StartupGate) allAnswered() bool {
