Refuse overtaken bodies for which no room comes in time

What senders saw: a body that had been granted and then overtaken by more urgent ones was held until its deadline, or requested so late that it arrived after it. Receivers did not count it in the backlog that they report once its reserved time had passed, so that senders kept choosing them. Cause: only waiting bodies were compared with their deadlines. A granted one was kept whatever overtook it, and the reservation that it had lost was part of no figure. The request leaves its slot or the queue of the backend server as not run. Backlog contains what they need again.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -115,7 +115,7 @@
 		return r
 	}
 	defer a.abandon(decision.entry)
-	r := a.awaitSlot(ctx, decision)
+	r := a.awaitSlot(ctx, req, decision)
 	waited := time.Since(begin)
 	if r == nil {
 		r = a.run(ctx, req, decision)
@@ -213,18 +213,20 @@
 }
 
 // awaitSlot waits until a queued request may run. It returns nil if the request may
-// run, and the refusal otherwise.
-func (a *admission) awaitSlot(ctx context.Context, decision queueDecision) *result {
+// run, and the refusal otherwise. The link may refuse the request's body meanwhile.
+func (a *admission) awaitSlot(ctx context.Context, req *request, decision queueDecision) *result {
 	if decision.state == backend.Waiting {
 		if a.queue.Blocked() {
 			a.scheduleTick(time.Now())
 		}
 		select {
 		case <-decision.entry.Decided():
+		case <-req.body.inflow.withdrawn():
+			a.abandon(decision.entry)
+			a.events.request(logs.Refusal, "body refused", req.id, "route", req.route, "bytes", req.body.length, "granted", true)
+			return req.body.inflow.refusal()
 		case <-ctx.Done():
-			if !a.queue.Cancel(decision.entry) {
-				a.finish(time.Now(), decision.entry, backend.Cancelled)
-			}
+			a.abandon(decision.entry)
 			return notRun(contextReason(ctx))
 		}
 	}
@@ -254,6 +256,7 @@
 	}
 	if r := a.awaitTurn(ctx, req); r != nil {
 		a.finish(time.Now(), decision.entry, backend.Cancelled)
+		r.instance = decision.instance
 		return r
 	}
 	if err := req.body.readRest(time.Now(), req.deadline.Add(-req.suspended.Elapsed()), a.budget); err != nil {
--- a/internal/sidecar/link.go
+++ b/internal/sidecar/link.go
@@ -136,7 +136,8 @@
 }
 
 // begin records that the body is requested. If more urgent bodies have overtaken it, begin first
-// waits until they have arrived. requested is false if ctx ends before.
+// waits until they have arrived. requested is false if ctx ends before, or if the body is refused
+// because there is no room for it in time.
 func (f *inflow) begin(ctx context.Context) (overtaken, requested bool) {
 	turn := f.pacer.link.Begin(time.Now(), f.entry)
 	if turn == nil {
@@ -145,7 +146,8 @@
 	f.pacer.tick(time.Now())
 	select {
 	case <-turn:
-		return true, true
+		state, _ := f.pacer.link.State(f.entry)
+		return true, state != bandwidth.Refused
 	case <-ctx.Done():
 		return true, false
 	}
@@ -166,6 +168,26 @@
 	return n, err //nolint:wrapcheck // readers compare io.EOF itself
 }
 
+// withdrawn returns a channel that is closed if the body is refused after it has been granted, or nil
+// if it does not wait for a grant.
+func (f *inflow) withdrawn() <-chan struct{} {
+	if f == nil || f.entry == nil {
+		return nil
+	}
+	return f.entry.Withdrawn()
+}
+
+// refusal returns the result of a request whose body was granted and has been refused since, or nil.
+func (f *inflow) refusal() *result {
+	state, wait := f.pacer.link.State(f.entry)
+	if state != bandwidth.Refused {
+		return nil
+	}
+	r := notRun(caller.ReasonOverload)
+	r.retryAfter = wait
+	return r
+}
+
 // end ends the transfer, whether the body has arrived or not. Calls after the first have no effect.
 func (f *inflow) end() {
 	if f != nil && f.entry != nil {
@@ -203,8 +225,8 @@
 		return r
 	}
 	f.entry = d.entry
+	f.pacer.tick(time.Now())
 	if d.state == bandwidth.Queued {
-		f.pacer.tick(time.Now())
 		select {
 		case <-d.entry.Decided():
 		case <-ctx.Done():
@@ -232,7 +254,7 @@
 }
 
 // awaitTurn waits until the body of a request that has a slot may be requested, unless it need not
-// wait for the link. It returns the refusal if that is not so before the deadline.
+// wait for the link. It returns the refusal if that will not be so before the deadline.
 func (a *admission) awaitTurn(ctx context.Context, req *request) *result {
 	f := req.body.inflow
 	if f == nil || f.entry == nil {
@@ -253,6 +275,9 @@
 	if requested {
 		return nil
 	}
+	if r := f.refusal(); r != nil {
+		return r
+	}
 	return notRun(contextReason(ctx))
 }
 
--- a/pkg/bandwidth/grant.go
+++ b/pkg/bandwidth/grant.go
@@ -26,19 +26,21 @@
 	maxUnrequested = 200 * time.Millisecond
 )
 
-// advance refuses bodies that would arrive too late, resumes overtaken ones, and grants others.
-// fresh is the body that has just been submitted, or nil.
+// advance refuses bodies that would arrive too late, resumes overtaken ones, and grants others, which
+// may overtake more. fresh is the body that has just been submitted, or nil.
 func (l *Link) advance(now time.Time, fresh *Entry) {
 	l.sort(now)
 	l.refuseHopeless(now, fresh)
 	l.refuseLate(now, fresh)
 	l.resume(now)
+	l.refuseOvertaken(now)
 	for len(l.waiting) > 0 && l.mayGrant(now) {
 		first := l.waiting[0]
 		l.waiting = slices.Delete(l.waiting, 0, 1)
 		l.open = append(l.open, first)
 		l.grant(now, first)
 	}
+	l.refuseOvertaken(now)
 }
 
 func (l *Link) grant(now time.Time, e *Entry) {
@@ -134,13 +136,7 @@
 // leave room for them, and lets the other overtaken ones be requested at any time again where that
 // is possible.
 func (l *Link) resume(now time.Time) {
-	var overtaken []*Entry
-	for _, e := range l.open {
-		if e.overtaken {
-			overtaken = append(overtaken, e)
-		}
-	}
-	slices.SortStableFunc(overtaken, func(a, b *Entry) int { return l.need(a).Compare(l.need(b)) })
+	overtaken := l.overtaken()
 	for _, e := range overtaken {
 		if e.turn != nil && l.takeTurn(now, e) {
 			close(e.turn)
@@ -177,7 +173,7 @@
 		l.busySince, l.receivedBytes, l.receivedBodies = now, 0, 0
 	}
 	e.requested = now
-	if missed := min(now.Sub(e.reserved), e.cost); missed > linkLead {
+	if missed := missed(now, e); missed > linkLead {
 		l.free = later(now, l.free).Add(missed)
 	}
 }
--- a/pkg/bandwidth/link.go
+++ b/pkg/bandwidth/link.go
@@ -24,7 +24,8 @@
 	Queued State = iota
 	// Granted means that the body may be requested from its sender.
 	Granted
-	// Refused means that the body would arrive too late.
+	// Refused means that the body would arrive too late. A body that was granted may be refused
+	// once more urgent ones have overtaken it.
 	Refused
 	// Ended means that the body has arrived, or is not wanted any more.
 	Ended
@@ -68,15 +69,20 @@
 	// the last time at which a part of it arrived.
 	requested, progressed time.Time
 	// overtaken states that more urgent bodies were granted in place of this one, which is granted
-	// and not requested yet. turn is closed once it is requested, nil unless that has to wait.
-	overtaken bool
-	turn      chan struct{}
+	// and not requested yet. turn is closed once it is requested or refused, nil unless that has to
+	// wait. withdrawn is closed if it is refused after it was granted.
+	overtaken       bool
+	turn, withdrawn chan struct{}
 }
 
 // Decided returns a channel that is closed once the body no longer waits. Then Link.State
 // returns the decision.
 func (e *Entry) Decided() <-chan struct{} { return e.decided }
 
+// Withdrawn returns a channel that is closed if the body is refused after it has been granted,
+// since more urgent ones have overtaken it and no room comes in time.
+func (e *Entry) Withdrawn() <-chan struct{} { return e.withdrawn }
+
 // Link divides the rate at which a machine's link receives among the bodies of requests. It is
 // designed for uploads that exceed the link, such as 60 KB at 23 to 56 per second over
 // 10 Mbit/s, beside calls of a few hundred bytes with an objective of 200 ms: bodies are
@@ -142,12 +148,13 @@
 func (l *Link) Limited() bool { return l.configured > 0 }
 
 // Submit grants, queues or refuses a body. The caller must call End for an entry that is granted
-// or queued. If it is queued, the caller waits for the entry to be decided, and calls Tick. If it
-// is refused, wait estimates the time until there is capacity.
+// or queued. If it is queued, the caller waits for the entry to be decided. The caller calls Tick,
+// also if it is granted, since it may have overtaken others. If it is refused, wait estimates the
+// time until there is capacity.
 func (l *Link) Submit(now time.Time, t Transfer) (e *Entry, state State, wait time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e = &Entry{transfer: t, submitted: now, decided: make(chan struct{})}
+	e = &Entry{transfer: t, submitted: now, decided: make(chan struct{}), withdrawn: make(chan struct{})}
 	if !l.Limited() {
 		l.grant(now, e)
 		return e, e.state, 0
@@ -177,10 +184,14 @@
 // Begin records that the body of a granted entry is requested from its sender. If the time
 // that was reserved for it has passed, the body takes time of the link once more. If more urgent
 // bodies have overtaken it, it may have to wait until they have arrived: then Begin returns a
-// channel that is closed once the body is to be requested, and the caller calls Tick meanwhile.
+// channel that is closed once the body is to be requested, or is refused, and the caller calls Tick
+// meanwhile. The channel is closed already if the body has been refused since it was granted.
 func (l *Link) Begin(now time.Time, e *Entry) (turn <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if e.state == Refused {
+		return e.withdrawn
+	}
 	if e.state != Granted || underWay(e) || !l.Limited() {
 		return nil
 	}
@@ -234,13 +245,13 @@
 	l.record(now, bytes)
 }
 
-// Tick grants and refuses waiting bodies, and resumes overtaken ones. It returns the time until the
-// next call, or zero if no body waits.
+// Tick grants and refuses waiting bodies, and resumes and refuses overtaken ones. It returns the time
+// until the next call, or zero if no body waits or is overtaken.
 func (l *Link) Tick(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now, nil)
-	if len(l.waiting) == 0 && !slices.ContainsFunc(l.open, awaitsTurn) {
+	if len(l.waiting) == 0 && !slices.ContainsFunc(l.open, func(e *Entry) bool { return e.overtaken }) {
 		return 0
 	}
 	next := l.free.Add(-linkLead).Sub(now)
@@ -257,7 +268,8 @@
 }
 
 // Backlog returns the time until the link has received the bodies that are granted or waiting,
-// or zero if it is unlimited.
+// or zero if it is unlimited. Overtaken bodies take new time of the link for what has passed of
+// theirs.
 func (l *Link) Backlog(now time.Time) time.Duration {
 	if !l.Limited() {
 		return 0
@@ -268,6 +280,11 @@
 	for _, e := range l.waiting {
 		backlog += l.cost(e.transfer.size)
 	}
+	for _, e := range l.open {
+		if e.overtaken {
+			backlog += missed(now, e)
+		}
+	}
 	return backlog
 }
 
--- a/pkg/bandwidth/link_test.go
+++ b/pkg/bandwidth/link_test.go
@@ -48,7 +48,9 @@
 			select {
 			case <-turns[name]:
 				delete(turns, name)
-				fmt.Fprintf(&out, "%s: %s requested\n", now.Sub(start), name)
+				if state, _ := link.State(entries[name]); state != bandwidth.Refused {
+					fmt.Fprintf(&out, "%s: %s requested\n", now.Sub(start), name)
+				}
 			default:
 			}
 		}
@@ -79,7 +81,11 @@
 		case "begin":
 			if turn := link.Begin(now, entries[f[1]]); turn != nil {
 				turns[f[1]] = turn
-				fmt.Fprintf(&out, "%s: %s waits for its turn\n", now.Sub(start), f[1])
+				text := "waits for its turn"
+				if state, _ := link.State(entries[f[1]]); state == bandwidth.Refused {
+					text = "is not requested"
+				}
+				fmt.Fprintf(&out, "%s: %s %s\n", now.Sub(start), f[1], text)
 			}
 		case "progress":
 			link.Progress(now, entries[f[1]])
--- a/pkg/bandwidth/rate.go
+++ b/pkg/bandwidth/rate.go
@@ -35,9 +35,7 @@
 	switch {
 	case missing > 0:
 		l.counts.returned++
-		ahead := e.reserved.Add(e.cost).Sub(later(now, e.reserved))
-		unused := time.Duration(float64(e.cost) * float64(missing) / float64(e.transfer.size))
-		l.free = l.free.Add(-max(0, min(ahead, unused)))
+		l.returnUnused(now, e, missing)
 	case missing < 0:
 		l.record(now, -missing)
 	}
@@ -56,6 +54,13 @@
 	}
 }
 
+// returnUnused returns what is left of the time that was reserved for missing bytes of a body.
+func (l *Link) returnUnused(now time.Time, e *Entry, missing int) {
+	ahead := e.reserved.Add(e.cost).Sub(later(now, e.reserved))
+	unused := time.Duration(float64(e.cost) * float64(missing) / float64(e.transfer.size))
+	l.free = l.free.Add(-max(0, min(ahead, unused)))
+}
+
 // sample observes the rate of the transfers since busySince.
 func (l *Link) sample(now time.Time) {
 	took := now.Sub(l.busySince)
