Pass on removals of instances in a new era

What callers saw: after the store had come back from an older copy, a daemon that had missed the removal of an instance (cut off, or restarted) sent requests to it until its entry was removed, although other daemons knew that it had left. Cause: each daemon decided only by what it had seen itself; the list of the new era has no tombstones. See docs/design/store-era.md.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -47,12 +47,15 @@
 		s.applyItems(now, changed)
 		return
 	}
+	s.eraAdoptedAt = now
+	clear(s.believedItems)
 	if before != (replica.Position{}) {
 		s.extendHolds(now)
 		changed = s.holdStopped(now, changed, removals)
 		s.events.stateChange("store restored, new era adopted", "from", before.String(), "to", at.String(), "source", from,
 			"items", len(items), "changed", len(changed), "missing", s.replica.Leftovers(), "held", len(s.heldChanges))
 	}
+	s.publishRemovals()
 	s.scheduleExpiry()
 	changed = s.withConfig(changed)
 	s.applyItems(now, changed)
@@ -108,6 +111,9 @@
 	for _, i := range changed {
 		length := s.holdLength(now, i, removals)
 		if length == 0 {
+			if _, removed := removals[i.Key()]; removed {
+				s.believedItems[i.Key()] = true
+			}
 			delete(s.heldChanges, i.Key())
 			rest = append(rest, i)
 			continue
@@ -158,10 +164,12 @@
 			continue
 		}
 		delete(s.heldChanges, key)
+		s.believedItems[key] = h.length == removedHold
 		if current, ok := s.replica.Get(key); ok && current.Revision() == h.item.Revision() {
 			changed = append(changed, current)
 		}
 	}
+	s.publishRemovals()
 	s.applyItems(now, changed)
 }
 
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -24,6 +24,7 @@
 	if lost := g.lostConfig.Load(); lost != nil {
 		setLost(m, lost)
 	}
+	m.SetRemovals(g.messageRemovals(time.Now()))
 	return m
 }
 
@@ -139,6 +140,7 @@
 		g.confirmCurrent(now.Add(-time.Duration(m.GetAge()) * time.Microsecond))
 	}
 	g.receiveLostConfig(now, m)
+	g.receiveRemovals(now, m)
 	for _, c := range m.GetCrashes() {
 		g.quarantine.RecordCrash(now, backend.NewRequestKey(c.GetCustomer(), c.GetFingerprint()))
 		g.events.stateChange("crash report received", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -28,8 +28,14 @@
 	confirmedAt atomic.Int64
 	startedAt   time.Time
 	// heldChanges holds the instances that a new era shows as ready although they were
-	// draining or had been removed, by key, guarded by applyMu.
-	heldChanges map[string]heldChange
+	// draining or had been removed, by key, and believedItems the keys of those that this daemon uses
+	// although it knew of their removal: they are not held because of what others say. eraAdoptedAt
+	// is when this daemon adopted its era. They are guarded by applyMu.
+	heldChanges   map[string]heldChange
+	believedItems map[string]bool
+	eraAdoptedAt  time.Time
+	// heldRemovals holds those of heldChanges that are held because they had been removed.
+	heldRemovals atomic.Pointer[heldRemovals]
 	// configSource is where the configuration in force comes from, and configEra the latest era
 	// in which this daemon saw it in the store, guarded by applyMu. lostConfig is configSource if
 	// the store has only an older configuration in this era, or nil.
@@ -47,11 +53,11 @@
 		decoder:     d,
 		events:      e,
 		replica:     replica.New(),
-		heldChanges: make(map[string]heldChange),
-		fleet:       fleet.New(),
-		applyMu:     lock.New(lock.Config),
-		startedAt:   now,
-		onChange:    func(time.Time) {},
+		heldChanges: make(map[string]heldChange), believedItems: make(map[string]bool),
+		fleet:     fleet.New(),
+		applyMu:   lock.New(lock.Config),
+		startedAt: now,
+		onChange:  func(time.Time) {},
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -115,6 +115,19 @@
 	return true
 }
 
+// MarkLeft records that an instance has left, as another daemon has seen. It is not usable from now on.
+func (f *Fleet) MarkLeft(now time.Time, id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.records[id]
+	if !ok {
+		return
+	}
+	r.removedAt, r.usableUntil, r.expired = now, now, false
+	f.records[id] = r
+	f.changed()
+}
+
 // MarkStoreUnavailable records that the store was unavailable at the given time. A time
 // before an earlier call's is ignored.
 func (f *Fleet) MarkStoreUnavailable(at time.Time) {
