Let the servers of half-closed connections wait for the client's result

wiretest.Half paused for 50 ms and then read the upload. A client that was delayed for longer than that had sent the whole upload when it met the end of the server's side, and the response counted as complete, as it should: http1's partial:20 failed in 2 of 8 runs of the test at load 36 to 42 ("200 with 700 bytes:1"). In a failure that was logged, all 8000060 bytes had been acknowledged. The server now reads on once the test has the result of that request.

--- a/internal/backendhttp/response_test.go
+++ b/internal/backendhttp/response_test.go
@@ -72,6 +72,7 @@
 				if text := send(context.Background(), clientOf(s), r); text != "no response" && !strings.HasSuffix(text, "(cut)") {
 					taken++
 				}
+				s.Resume()
 			}
 			fmt.Fprintf(&out, "%s: %d of %d taken for complete\n", line, taken, requests)
 		}
--- a/internal/http1/response_test.go
+++ b/internal/http1/response_test.go
@@ -86,6 +86,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				resp, err := c.Do(ctx, r)
 				cancel()
+				s.Resume()
 				result := formatResult(resp, err)
 				if err == nil {
 					result = fmt.Sprintf("%d with %d bytes", resp.Status(), len(resp.Body()))
--- a/internal/wirecheck/wiretest/wiretest.go
+++ b/internal/wirecheck/wiretest/wiretest.go
@@ -9,9 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 )
@@ -24,7 +24,7 @@
 	Close End = "close"
 	// Reset resets the connection.
 	Reset End = "reset"
-	// Half ends the server's side of the connection and reads on.
+	// Half ends the server's side of the connection, and reads on once the test calls Resume.
 	Half End = "half"
 	// Open reads on until the client has closed the connection.
 	Open End = "open"
@@ -36,10 +36,6 @@
 // validResponse is the response to the first request of a connection that is kept.
 const validResponse = "HTTP/1.1 204 No Content\r\n\r\n"
 
-// halfPause is the time from the end of the server's side of a connection until it reads on, in
-// which a client meets that end while it still sends.
-const halfPause = 50 * time.Millisecond
-
 // RawServer answers requests with the bytes of a response, valid or not. Use ServeRaw to create one.
 type RawServer struct {
 	address  string
@@ -47,6 +43,9 @@
 	end      End
 	drain    bool
 	requests atomic.Int64
+	// resume is signalled when resumed, the number of calls of Resume, grows. Its lock guards that.
+	resume  *sync.Cond
+	resumed int64
 }
 
 // Serve starts a server that calls serve for each connection in a goroutine of its own, and closes the
@@ -81,7 +80,7 @@
 	if err != nil {
 		t.Fatalf("%s: %v", text, err)
 	}
-	s := &RawServer{response: []byte(response), end: end, drain: drain}
+	s := &RawServer{response: []byte(response), end: end, drain: drain, resume: sync.NewCond(&sync.Mutex{})}
 	s.address = Serve(t, "127.0.0.1:0", s.serve)
 	return s
 }
@@ -89,6 +88,26 @@
 // Address returns the server's address.
 func (s *RawServer) Address() string { return s.address }
 
+// Resume lets a server read on that has ended its side of a connection. A test calls it once for each
+// request, when the client has the result: a client that is delayed would otherwise send the whole
+// request before it meets that end.
+func (s *RawServer) Resume() {
+	s.resume.L.Lock()
+	defer s.resume.L.Unlock()
+	s.resumed++
+	s.resume.Broadcast()
+}
+
+// awaitResume waits for as many calls of Resume as requests have arrived.
+func (s *RawServer) awaitResume() {
+	arrived := s.Requests()
+	s.resume.L.Lock()
+	defer s.resume.L.Unlock()
+	for s.resumed < arrived {
+		s.resume.Wait()
+	}
+}
+
 // Requests returns how many requests have arrived.
 func (s *RawServer) Requests() int64 { return s.requests.Load() }
 
@@ -112,7 +131,7 @@
 		_, _ = io.Copy(io.Discard, c)
 	case Half:
 		_ = c.CloseWrite()
-		time.Sleep(halfPause)
+		s.awaitResume()
 		_, _ = io.Copy(io.Discard, c)
 	}
 }
