--- a/internal/emulate/daemon.go
+++ b/internal/emulate/daemon.go
@@ -228,5 +228,5 @@
 // loadReport returns the load report that the daemon attaches to its replies.
 func (d *daemon) loadReport(class string) upstream.LoadReport {
 	running, waiting, limit, mean := d.queue.Load()
-	return upstream.NewLoadReport(running, waiting, limit, d.queue.ExpectedServiceTime(d.sim.now, class), mean)
+	return upstream.NewLoadReport(running, waiting, limit, d.queue.MeanServiceTime(class), mean)
 }
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -86,7 +86,7 @@
 	running, waiting, limit, mean := a.queue.Load()
 	a.metrics.recordAdmission(req, r, redirectable)
 	r.calls = a.calls.tally.Report(time.Now(), req.kind())
-	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.ExpectedServiceTime(time.Now(), req.route), mean)
+	r.load = upstream.NewLoadReport(running, waiting, limit, a.queue.MeanServiceTime(req.route), mean)
 	if a.link.limited() {
 		r.load = r.load.WithLink(a.link.link.Backlog(time.Now()), a.link.link.Pace())
 	}
--- a/pkg/backend/queue.go
+++ b/pkg/backend/queue.go
@@ -53,6 +53,8 @@
 	// arrived is the number of entries so far.
 	arrived uint64
 	running int
+	// runningPerClass is the number of running entries per class.
+	runningPerClass map[string]int
 	// slots is the memory of schedule, and kept the number of free slots kept for calls at the
 	// time of its last call.
 	slots []time.Time
@@ -62,10 +64,10 @@
 	calls        CallShare
 	callMean     time.Duration
 	runningCalls int
-	// mean is the mean service time over all classes, and classes what is known of each.
-	mean    time.Duration
-	classes map[string]*classRuns
-	closed  bool
+	// mean is the mean service time over all classes, classMeans the mean per class.
+	mean       time.Duration
+	classMeans map[string]time.Duration
+	closed     bool
 }
 
 // NewQueue returns an empty queue with the given window, which the caller must not
@@ -73,7 +75,7 @@
 func NewQueue[W Window](window W, limiter RateLimiter) *Queue[W] {
 	return &Queue[W]{
 		mu: lock.New(lock.Gate), window: window, limiter: limiter,
-		classes: make(map[string]*classRuns),
+		runningPerClass: make(map[string]int), classMeans: make(map[string]time.Duration),
 	}
 }
 
@@ -98,14 +100,12 @@
 		return e, e.state, 0
 	}
 	if r.priority.Nested() {
-		q.calls.RecordCall(now, r.objective.Sub(now)-q.classMean(r.class))
+		q.calls.RecordCall(now, r.objective.Sub(now)-q.classMeans[r.class])
 	}
 	q.deferLate(now)
 	at, _ := slices.BinarySearchFunc(q.waiting, e, compareEntries)
 	if redirectable {
-		// Time that the run takes only here counts like a wait.
-		wait := q.startOf(now, e, at).Sub(now) + q.expected(now, r.class) - q.classMean(r.class)
-		if wait > caller.MaxRedirectWait(r.objective.Sub(now)) {
+		if wait := q.startOf(now, e, at).Sub(now); wait > caller.MaxRedirectWait(r.objective.Sub(now)) {
 			e.retryAfter = wait
 			e.decide(Overloaded)
 			return e, e.state, e.retryAfter
@@ -140,13 +140,16 @@
 	}
 	e.state = Finished
 	q.running--
-	q.runsOf(e.request.class).end(now, e.started, result == Served)
+	if q.runningPerClass[e.request.class]--; q.runningPerClass[e.request.class] == 0 {
+		delete(q.runningPerClass, e.request.class)
+	}
 	if e.request.priority.Nested() {
 		q.runningCalls--
 	}
 	if result == Served {
 		took := now.Sub(e.started)
 		q.mean = movingAverage(q.mean, took)
+		q.classMeans[e.request.class] = movingAverage(q.classMeans[e.request.class], took)
 		if e.request.priority.Nested() {
 			q.callMean = movingAverage(q.callMean, took)
 		}
@@ -257,14 +260,5 @@
 func (q *Queue[W]) MeanServiceTime(class string) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.classMean(class)
-}
-
-// ExpectedServiceTime returns the time that a run of a class is expected to take. Unlike the mean, it
-// is also longer if runs do not end any more. It is zero if no request of that class has been
-// served.
-func (q *Queue[W]) ExpectedServiceTime(now time.Time, class string) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.expected(now, class)
+	return q.classMeans[class]
 }
--- a/pkg/backend/queue_order.go
+++ b/pkg/backend/queue_order.go
@@ -10,7 +10,7 @@
 
 // need returns what an entry needs of the slots. The work is the mean service time of its class.
 func (q *Queue[W]) need(e *Entry) caller.Need {
-	return e.request.need(q.classMean(e.request.class))
+	return e.request.need(q.classMeans[e.request.class])
 }
 
 // compareEntries orders waiting entries by their needs, and equal ones by their arrival.
@@ -110,7 +110,7 @@
 func (q *Queue[W]) deferLate(now time.Time) {
 	kept := q.waiting[:0]
 	for _, e := range q.waiting {
-		if !e.request.priority.Nested() && now.Add(q.classMean(e.request.class)).After(e.request.objective) {
+		if !e.request.priority.Nested() && now.Add(q.classMeans[e.request.class]).After(e.request.objective) {
 			q.late = insert(q.late, e)
 			continue
 		}
@@ -139,7 +139,7 @@
 		}
 		*list = remove(*list, at)
 		q.running++
-		q.runsOf(e.request.class).begin(now)
+		q.runningPerClass[e.request.class]++
 		if e.request.priority.Nested() {
 			q.runningCalls++
 		}
--- a/pkg/backend/queue_test.go
+++ b/pkg/backend/queue_test.go
@@ -25,10 +25,6 @@
 // receives calls, and against slots that stay idle for calls that do not come.
 func TestQueueCalls(t *testing.T) { runQueue(t, "testdata/calls") }
 
-// TestQueueOverdue guards against requests that are lost at a backend server which has become so slow
-// that no run ends, although others have room.
-func TestQueueOverdue(t *testing.T) { runQueue(t, "testdata/overdue") }
-
 func runQueue(t *testing.T, script string) {
 	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
 		slots := 0
@@ -48,7 +44,7 @@
 				request := backend.NewRequest(priority(f[1]), f[1][:1], now.Add(duration(t, f[2])), now.Add(duration(t, f[3])))
 				entries[f[1]], _, _ = q.Submit(now, request, f[0] == "choosy")
 				order = append(order, f[1])
-			case "served", "shed", "cut", "withdraw":
+			case "served", "shed", "withdraw":
 				for _, name := range f[1:] {
 					endRequest(now, q, entries[name], f[0])
 				}
@@ -56,9 +52,6 @@
 				_, wait := q.State(entries[f[1]])
 				fmt.Fprintf(&out, "%s: %s\n", line, wait.Round(time.Millisecond))
 				continue
-			case "expected": // expected CLASS: prints the expected service time
-				fmt.Fprintf(&out, "%s: %s\n", line, q.ExpectedServiceTime(now, f[1]))
-				continue
 			case "calls": // calls RATE WORK: serves a second of calls that run for a time each
 				now = serveCalls(now, q, f[1], duration(t, f[2]))
 			case "cold":
@@ -98,8 +91,6 @@
 		q.Done(now, e, backend.Served)
 	case "shed":
 		q.Done(now, e, backend.Shed)
-	case "cut":
-		q.Done(now, e, backend.Cancelled)
 	case "withdraw":
 		q.Cancel(e)
 	}
--- a/pkg/backend/queue_waits.go
+++ b/pkg/backend/queue_waits.go
@@ -18,40 +18,14 @@
 	minServiceShare = 0.7
 )
 
-// runsOf returns what is known of a class.
-func (q *Queue[W]) runsOf(class string) *classRuns {
-	r, ok := q.classes[class]
-	if !ok {
-		r = &classRuns{}
-		q.classes[class] = r
-	}
-	return r
-}
-
-// classMean returns the mean service time of a class, or zero if no run of it has ended.
-func (q *Queue[W]) classMean(class string) time.Duration {
-	if r, ok := q.classes[class]; ok {
-		return r.mean
-	}
-	return 0
-}
-
-// expected returns the expected service time of a class, or zero if no run of it has ended.
-func (q *Queue[W]) expected(now time.Time, class string) time.Duration {
-	if r, ok := q.classes[class]; ok {
-		return r.expected(now)
-	}
-	return 0
-}
-
 // minServiceTime returns the minimum time that a request is expected to run.
 func (q *Queue[W]) minServiceTime(r Request) time.Duration {
-	return time.Duration(float64(q.classMean(r.class)) * minServiceShare)
+	return time.Duration(float64(q.classMeans[r.class]) * minServiceShare)
 }
 
 // work returns the time for which a request of a class is expected to occupy a slot.
 func (q *Queue[W]) work(class string) time.Duration {
-	return cmp.Or(q.classMean(class), q.mean, initialServiceTime)
+	return cmp.Or(q.classMeans[class], q.mean, initialServiceTime)
 }
 
 // schedule returns the times at which the slots are expected to become free, in ascending order,
@@ -67,8 +41,8 @@
 	}
 	free := len(q.slots)
 	rate := 0.0
-	for class, runs := range q.classes {
-		n, work := len(runs.started), q.work(class)
+	for class, n := range q.runningPerClass {
+		work := q.work(class)
 		rate += float64(n) / float64(work)
 		for i := range n {
 			q.slots = append(q.slots, now.Add(work*time.Duration(i+1)/time.Duration(n)))
