--- a/internal/sidecar/fleet_state.go
+++ b/internal/sidecar/fleet_state.go
@@ -50,14 +50,15 @@
 
 func newFleetState(d Decoder, e *events, now time.Time) *fleetState {
 	return &fleetState{
-		decoder:     d,
-		events:      e,
-		replica:     replica.New(),
-		heldChanges: make(map[string]heldChange), believedItems: make(map[string]bool),
-		fleet:     fleet.New(),
-		applyMu:   lock.New(lock.Config),
-		startedAt: now,
-		onChange:  func(time.Time) {},
+		decoder:       d,
+		events:        e,
+		replica:       replica.New(),
+		heldChanges:   make(map[string]heldChange),
+		believedItems: make(map[string]bool),
+		fleet:         fleet.New(),
+		applyMu:       lock.New(lock.Config),
+		startedAt:     now,
+		onChange:      func(time.Time) {},
 	}
 }
 
