Open the startup gate without substitutes of peers that answered late

What could happen: a starting `run` daemon whose first peers had all answered, one of them at its second attempt, did not serve until the gate's bound (3 s): at the first failure it had asked a further peer in place of the one that failed, and that one could not be reached. Cause: since a failure adds a peer, and the gate waits for all peers that are asked. Change: a peer that was asked since another one failed need not answer once a peer has answered that has started. The first peers, and those that were asked since others were starting, still need to.

--- a/pkg/platform/startup_gate.go
+++ b/pkg/platform/startup_gate.go
@@ -22,8 +22,8 @@
 
 // StartupGate decides when a newly started daemon may serve, and which peers it asks. The
 // daemon keeps no versions across restarts, so it first asks its peers for theirs. The gate
-// opens once the daemon holds a version and has processed the answer of every
-// peer, or once the bound has passed and it holds a version from any source. A
+// opens once the daemon holds a version and has processed the answers of the peers, or
+// once the bound has passed and it holds a version from any source. A
 // platform that returns stale data is therefore trusted on its own only if no
 // peer answers in time.
 //
@@ -52,8 +52,9 @@
 // startupPeer is the state of a peer that is asked at startup.
 type startupPeer struct {
 	answered, failed bool
-	// further states that the peer is asked in addition to the first ones.
-	further bool
+	// further states that the peer is asked in addition to the first ones, and substitute that it
+	// is since another one failed.
+	further, substitute bool
 	// retryDelay is the delay after the next failure.
 	retryDelay time.Duration
 }
@@ -104,7 +105,7 @@
 	}
 	p.answered = true
 	g.confirmed = g.confirmed || !starting
-	return g.askFurther(now)
+	return g.askFurther(now, false)
 }
 
 // RecordFailure records that a peer that was asked did not answer. It returns the delay after
@@ -120,7 +121,7 @@
 	if !p.failed {
 		p.failed = true
 		g.failures++
-		next = g.askFurther(now)
+		next = g.askFurther(now, true)
 	}
 	if p.further && !now.Before(g.end()) {
 		return 0, false, next
@@ -131,13 +132,15 @@
 }
 
 // askFurther returns a further peer to ask, which becomes one of those that are asked, or the
-// empty string if none is to be asked. The caller holds g.mu.
-func (g *StartupGate) askFurther(now time.Time) string {
+// empty string if none is to be asked. substitute states that the reason is the failure of
+// another one. The caller holds g.mu.
+func (g *StartupGate) askFurther(now time.Time, substitute bool) string {
 	for !g.confirmed && now.Before(g.end()) && len(g.further) > 0 && len(g.asked)-g.failures < maxStartupPeers {
 		next := g.further[0]
 		g.further = g.further[1:]
 		if _, ok := g.asked[next]; !ok {
-			g.ask(next).further = true
+			p := g.ask(next)
+			p.further, p.substitute = true, substitute
 			return next
 		}
 	}
@@ -174,9 +177,12 @@
 	return !g.confirmed && !(g.peersKnown && g.allAnswered()) && now.Before(g.end())
 }
 
+// allAnswered reports whether all peers have answered that need to. Those that were asked since
+// another one failed need not once a peer has answered that has started: the other one may have
+// answered since, and they may be unreachable.
 func (g *StartupGate) allAnswered() bool {
 	for _, p := range g.asked {
-		if !p.answered {
+		if !p.answered && !(p.substitute && g.confirmed) {
 			return false
 		}
 	}
