End the delivery of crash reports at the first failure

What could happen: a second goroutine sends the same reports to a daemon at the same time as the first. Found by reading, not seen in a run: receivers count a report once by its id, and those of earlier versions take two within 200 ms for one. Cause: a failure ends the turn of the goroutine that sends, but it asked for the next report once more. If another crash had made reports due in between, the turn was that of another goroutine. Change: the goroutine returns after a failure, and the doc comment of Next says so. Measured: go test -race -tags lockcheck ./pkg/backend ./internal/daemon passes.

--- a/internal/daemon/crash_reporter.go
+++ b/internal/daemon/crash_reporter.go
@@ -90,6 +90,10 @@
 			r.log.Debug("crash report not acknowledged", "to", name, "fingerprint", report.Key().Fingerprint(), "error", err)
 		}
 		r.reports.Record(time.Now(), name, report, result)
+		if err != nil {
+			// Another goroutine may be sending to the daemon by now.
+			return
+		}
 	}
 }
 
--- a/pkg/backend/crashreports.go
+++ b/pkg/backend/crashreports.go
@@ -188,7 +188,8 @@
 }
 
 // Next returns the next report to be sent to a daemon that Due returned, and whether the daemon
-// may have counted it. The result is passed to Record before the next call.
+// may have counted it. The result is passed to Record before the next call. After a result other than
+// Acknowledged, the caller does not call Next until Due has returned the daemon again.
 func (c *CrashReports) Next(daemon string) (report CrashReport, unconfirmed, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
