Tell uploads that callers break off from crashes of the backend server in run

What callers saw: a customer whose upload of more than 64 KB broke off twice got 403 quarantined for a minute when it sent it again. Each broken upload was logged as 'backend server died', reported to all daemons of the service, and counted as a lost connection by the gate; a daemon that had sent it to another one avoided that one for 500 ms. Cause: after a body that cannot be read, the HTTP client closes its connection to the backend server and returns an error, which egress took for a crash unless the request's context had ended before. The daemon that accepted the request took the end of the stream, which it aborts itself, for a lost response. Change: both note that the body could not be read. Such a request ends as cancelled, with the outcome unknown.

--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -196,6 +196,8 @@
 	stream  *peerquic.Stream
 	release func()
 	offer   handover.Offer
+	// body is the deferred body once it is being sent, or nil.
+	body *watchedBody
 }
 
 // run sends the body and reads the reply.
@@ -210,6 +212,10 @@
 		if errors.Is(err, peerquic.ErrUnreachable) || w.deferBody && e.offer.Withdraw() {
 			return e.failedReply(ctx, caller.OutcomeNotRun, caller.ReasonNoBackend)
 		}
+		if e.body != nil && e.body.failed.Load() {
+			// The other daemon is not at fault, and is not avoided.
+			return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonCancelled)
+		}
 		return e.failedReply(ctx, caller.OutcomeUnknown, caller.ReasonResponseLost)
 	}
 	// A daemon that has answered reads no more, and its answer decides.
@@ -223,8 +229,9 @@
 		}
 		if a.GetReply().GetAdmitted() {
 			// From here on the body cannot be sent again.
-			r := body.reader()
-			e.tasks.start(func() { e.sendOrAbort(r) })
+			deferred := &watchedBody{Reader: body.reader()}
+			e.body = deferred
+			e.tasks.start(func() { e.sendOrAbort(deferred) })
 			continue
 		}
 		e.members.RecordSuccess(e.name)
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lycheehead/lycheehead/internal/backendhttp"
@@ -286,6 +287,10 @@
 func (e *egress) run(ctx context.Context, w *work, body io.Reader, t *backend.Ticket) *reply {
 	token := newToken()
 	e.calls.Put(token, w.context)
+	watched := &watchedBody{Reader: body}
+	if _, buffered := body.(io.Seeker); !buffered {
+		body = watched
+	}
 	req := backendhttp.NewRequest(w.method, w.target, e.header(w, token), body, w.length)
 	if w.atMostOnce {
 		req = req.AtMostOnce()
@@ -293,7 +298,7 @@
 	resp, err := e.client.Do(ctx, req)
 	if err != nil {
 		e.calls.Delete(token)
-		return e.failedReply(ctx, w, t, err)
+		return e.failedReply(ctx, w, t, err, watched.failed.Load())
 	}
 	e.recordInstanceID(resp.Header.Get(instanceHeader))
 	if isRefusal(resp.Header) {
@@ -317,9 +322,25 @@
 	}
 }
 
+// watchedBody is a request body that records whether it could not be read.
+type watchedBody struct {
+	io.Reader
+	failed atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && err != io.EOF { //nolint:errorlint // readers return io.EOF itself
+		b.failed.Store(true)
+	}
+	return n, err //nolint:wrapcheck // readers compare io.EOF itself
+}
+
 // failedReply returns the reply to work for which the backend server sent no
-// response.
-func (e *egress) failedReply(ctx context.Context, w *work, t *backend.Ticket, err error) *reply {
+// response. bodyFailed states that the body could not be read, so that the connection to the
+// backend server was closed for that and not because of a crash.
+func (e *egress) failedReply(ctx context.Context, w *work, t *backend.Ticket, err error, bodyFailed bool) *reply {
 	e.log.Debug("request to backend server failed", "error", err)
 	now := time.Now()
 	switch {
@@ -332,6 +353,9 @@
 	case ctx.Err() != nil:
 		e.gate.Done(now, t, backend.Cancelled)
 		return &reply{outcome: caller.OutcomeUnknown, reason: endReason(ctx)}
+	case bodyFailed:
+		e.gate.Done(now, t, backend.Cancelled)
+		return &reply{outcome: caller.OutcomeUnknown, reason: caller.ReasonCancelled}
 	}
 	e.gate.Done(now, t, backend.Disconnected)
 	e.recordCrash(now, w)
--- a/internal/mesh/call_test.go
+++ b/internal/mesh/call_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
@@ -24,7 +25,8 @@
 // the response ends the connection. The
 // argument once is the label of an idempotency key, next lists the paths of nested requests,
 // body is the size of the body in bytes, and work is the service time. With the argument
-// crash, the request crashes the backend server, and with stalled, none of its body is sent.
+// crash, the request crashes the backend server, with stalled, none of its body is sent, and with
+// truncated, the last byte of it is not.
 // With listed, the request and its response have a field with that name and the value listed,
 // and list it in their Connection fields.
 func (r *scriptRunner) call(t *testing.T, d *datadriven.TestData) string {
@@ -67,6 +69,9 @@
 		time.AfterFunc(stalledTimeout, func() { _ = w.CloseWithError(io.ErrUnexpectedEOF) })
 		req.Body = r
 	}
+	if d.HasArg("truncated") {
+		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(make([]byte, body-1)), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	}
 	req.Header.Set(standin.RequestIDHeader, d.Pos)
 	req.Header.Set(standin.ServiceTimeHeader, serviceTime)
 	if customer != "" {
