--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -204,8 +204,9 @@
 	}
 }
 
-// abandon ends a request that a panic has left in the queue, so that it keeps no slot of the backend
-// server. It has no effect on a request that has ended, whose slot another one may have.
+// abandon ends a request that is not run, or that a panic has left in the queue, so that it keeps no
+// slot of the backend server. It has no effect on a request that has ended, whose slot another one may
+// have.
 func (a *admission) abandon(entry *backend.Entry) {
 	if !a.queue.Cancel(entry) {
 		a.finish(time.Now(), entry, backend.Cancelled)
