Ping a daemon again whose silence the own process's pause explains

A process that does not run for longer than the time-out of 250 ms, since it was stopped or its machine had no processor for it, finds all its pings and connects timed out when it runs again, though the answers may be waiting. It marked the daemons as unreachable, and told the others of its data centre. It now pings such a daemon once more if it had just not run (suspend.Monitor.Delay), and logs 'daemon slow, own process paused'. One that has closed its connections is marked at once, as before.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -160,7 +160,7 @@
 	d.detector = &failureDetector{
 		ctx: ctx, balancer: balancer, events: d.events,
 		ping: d.peers.ping, isPublished: d.gossiper.isPublished, broadcast: d.gossiper.broadcastUnreachable,
-		links: newBusyLinks(d.admission.link),
+		links: newBusyLinks(d.admission.link), ownPause: d.monitor.Delay,
 	}
 	d.gossiper.detector = d.detector
 	d.sender = &sender{
--- a/internal/sidecar/failure_detector.go
+++ b/internal/sidecar/failure_detector.go
@@ -34,6 +34,8 @@
 	broadcast func(ip string)
 	// links tracks how busy the links of this machine and of others are.
 	links *busyLinks
+	// ownPause returns for how long this process had not run until just now, zero if it did run.
+	ownPause func() time.Duration
 }
 
 // busyLinks tracks for how long the links of this machine and of others are busy with bodies. A
@@ -97,9 +99,17 @@
 }
 
 // confirm reports whether a daemon is unreachable that did not answer within the usual time-out,
-// for the given reason. While a link is busy, it pings the daemon for as long as that explains
-// the silence. It returns false if the daemon answers or ctx ends.
+// for the given reason. If this process did not run meanwhile, which makes all others look silent,
+// it pings the daemon once more. While a link is busy, it pings the daemon for as long as that
+// explains the silence. It returns false if the daemon answers or ctx ends.
 func (d *failureDetector) confirm(ctx context.Context, ip string, err error) bool {
+	if pause := d.ownPause(); pause > 0 && failureOf(err) == peer.TimedOut {
+		d.events.stateChange("daemon slow, own process paused", "ip", ip, "paused", pause.String(), "error", err.Error())
+		err = d.ping(ctx, ip)
+		if err == nil || localShortage(err) || ctx.Err() != nil {
+			return false
+		}
+	}
 	begin := time.Now()
 	own, reported := d.links.backlogs(begin, ip)
 	if d.links == nil || d.links.patience.Unreachable(failureOf(err), 0, own, reported) {
--- a/internal/sidecar/spread_node_test.go
+++ b/internal/sidecar/spread_node_test.go
@@ -230,6 +230,7 @@
 	g.detector = &failureDetector{
 		ctx: ctx, balancer: upstream.NewBalancer(upstream.LatencyCost{}, node.ip, node.centre), events: state.events,
 		ping: node.ping, isPublished: g.isPublished, broadcast: g.broadcastUnreachable,
+		ownPause: func() time.Duration { return 0 },
 	}
 	g.limiter.detector = g.detector
 
