--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -224,8 +224,10 @@
 		case <-decision.entry.Decided():
 		case <-req.body.inflow.withdrawn():
 			a.abandon(decision.entry)
-			a.events.request(logs.Refusal, "body refused", req.id, "route", req.route, "bytes", req.body.length, "granted", true)
-			return req.body.inflow.refusal()
+			r := req.body.inflow.refusal()
+			a.events.request(logs.Refusal, "body refused", req.id, "route", req.route, "bytes", req.body.length, "granted", true,
+				"wait", r.retryAfter.String(), "backlog", a.link.link.Backlog(time.Now()).String())
+			return r
 		case <-ctx.Done():
 			a.abandon(decision.entry)
 			return notRun(contextReason(ctx))
