--- a/internal/wirecheck/wiretest/wiretest.go
+++ b/internal/wirecheck/wiretest/wiretest.go
@@ -14,6 +14,8 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+
+	"github.com/lycheehead/lycheehead/pkg/lock"
 )
 
 // End is what a RawServer does with a connection behind a response.
@@ -43,7 +45,8 @@
 	end      End
 	drain    bool
 	requests atomic.Int64
-	// resume is signalled when resumed, the number of calls of Resume, grows. Its lock guards that.
+	// resume is signalled when resumed, the number of calls of Resume, grows. Its lock has rank
+	// lock.Tasks and guards that.
 	resume  *sync.Cond
 	resumed int64
 }
@@ -80,7 +83,7 @@
 	if err != nil {
 		t.Fatalf("%s: %v", text, err)
 	}
-	s := &RawServer{response: []byte(response), end: end, drain: drain, resume: sync.NewCond(&sync.Mutex{})}
+	s := &RawServer{response: []byte(response), end: end, drain: drain, resume: sync.NewCond(lock.New(lock.Tasks))}
 	s.address = Serve(t, "127.0.0.1:0", s.serve)
 	return s
 }
