--- /dev/null
+++ b/review/rig2/store.go
@@ -0,0 +1,154 @@
+//go:build review2
+
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeItem is an item of the store or an event of a watch.
+type storeItem struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Rev     uint64 `json:"rev"`
+	Created uint64 `json:"created,omitempty"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+// store is a stand-in for the platform's metadata store.
+type store struct {
+	mu       sync.Mutex
+	era      uint64
+	revision uint64
+	items    map[string]storeItem
+	events   []storeItem
+	changed  chan struct{}
+	down     bool
+	// first is the lowest revision after which the history is kept.
+	first  uint64
+	server *http.Server
+}
+
+func newStore(l net.Listener) *store {
+	s := &store{era: 1, revision: 100, first: 100, items: make(map[string]storeItem), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv-key", s.serveKey)
+	mux.HandleFunc("GET /kv-range", s.serveRange)
+	mux.HandleFunc("GET /kv-watch", s.serveWatch)
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down, era := s.down, s.era
+		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+		w.Header().Set("Content-Type", "application/json")
+		mux.ServeHTTP(w, r)
+	})}
+	go func() { _ = s.server.Serve(l) }()
+	return s
+}
+
+func (s *store) put(key string, value any) uint64 {
+	data, _ := json.Marshal(value)
+	return s.write(storeItem{Key: key, Value: data})
+}
+
+func (s *store) remove(key string) uint64 { return s.write(storeItem{Key: key, Removed: true}) }
+
+func (s *store) write(i storeItem) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	i.Rev, i.Created = s.revision, s.revision
+	if i.Removed {
+		delete(s.items, i.Key)
+	} else {
+		if old, ok := s.items[i.Key]; ok {
+			i.Created = old.Created
+		}
+		s.items[i.Key] = i
+	}
+	s.events = append(s.events, i)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(struct {
+		storeItem
+		Revision uint64 `json:"store-revision"`
+	}{i, s.revision})
+}
+
+func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	more := len(keys) > 500
+	keys = keys[:min(len(keys), 500)]
+	list := make([]storeItem, 0, len(keys))
+	for _, key := range keys {
+		list = append(list, s.items[key])
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": list, "has-more": more, "store-revision": s.revision})
+}
+
+func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	ms, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
+	timeout := time.After(time.Duration(min(ms, 30_000)) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.first || after > s.revision {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		list := []storeItem{}
+		for _, e := range s.events {
+			if e.Rev > after && strings.HasPrefix(e.Key, q.Get("prefix")) {
+				list = append(list, e)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(list) > 0 {
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": list, "store-revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			_ = json.NewEncoder(w).Encode(map[string]any{"events": list, "store-revision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
