--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -22,7 +22,7 @@
 		runUpstream(os.Args[2:])
 		return
 	}
-	cases := map[string]func(*fleet, bool) (int, error){"poison": poison, "stop": stop, "keys": keys}
+	cases := map[string]func(*fleet, bool) (int, error){"poison": poison, "stop": stop, "keys": keys, "evac": evac}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		os.Exit(noCheck)
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -31,6 +31,8 @@
 	events   []storeItem
 	changed  chan struct{}
 	down     bool
+	// writtenAt holds when each event was written.
+	writtenAt []time.Time
 	// first is the lowest revision after which the history is kept.
 	first  uint64
 	server *http.Server
@@ -78,12 +80,43 @@
 		}
 		s.items[i.Key] = i
 	}
-	s.events = append(s.events, i)
+	s.events, s.writtenAt = append(s.events, i), append(s.writtenAt, time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.revision
 }
 
+// suspend makes the store answer 503.
+func (s *store) suspend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = true
+}
+
+// restore makes the store available in a new era, with what had been written up to a moment.
+func (s *store) restore(upTo time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := 0
+	for kept < len(s.events) && s.writtenAt[kept].Before(upTo) {
+		kept++
+	}
+	s.events, s.writtenAt = slices.Clone(s.events[:kept]), slices.Clone(s.writtenAt[:kept])
+	s.items, s.revision = make(map[string]storeItem), s.first
+	for _, e := range s.events {
+		s.revision = e.Rev
+		if e.Removed {
+			delete(s.items, e.Key)
+		} else {
+			s.items[e.Key] = e
+		}
+	}
+	s.era++
+	s.down = false
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,8 +156,15 @@
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	ms, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
 	timeout := time.After(time.Duration(min(ms, 30_000)) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.down || s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		if after < s.first || after > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
