--- a/review/rig2/evac.go
+++ b/review/rig2/evac.go
@@ -36,7 +36,7 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				a := f.send(m, request{id: fmt.Sprintf("read-%d-%d", m.n, k), method: "GET", host: "doku.example", path: "/doku/work/20/page", deadline: time.Second})
+				a := f.send(m, request{id: fmt.Sprintf("read-%d-%d", m.n, k), method: "GET", host: "doku.example", path: "/doku/takes/20/page", deadline: time.Second})
 				mu.Lock()
 				sends[a.id] = a
 				mu.Unlock()
--- a/review/rig2/poison.go
+++ b/review/rig2/poison.go
@@ -52,7 +52,7 @@
 		})
 	}
 	for _, m := range f.machines {
-		load([]*machine{m}, "read", "/doku/work/20/page", 100*time.Millisecond)
+		load([]*machine{m}, "read", "/doku/takes/20/page", 100*time.Millisecond)
 	}
 	load(f.machines, "poison", "/doku/crash/page", 550*time.Millisecond)
 	time.Sleep(9 * time.Second)
--- a/review/rig2/stop.go
+++ b/review/rig2/stop.go
@@ -32,7 +32,7 @@
 		return noCheck, err
 	}
 	read := func(m *machine, id string, work int) answer {
-		return f.send(m, request{id: id, method: "GET", host: "taxe.example", path: fmt.Sprintf("/arhiva/work/%d/page", work), deadline: deadline})
+		return f.send(m, request{id: id, method: "GET", host: "taxe.example", path: fmt.Sprintf("/arhiva/takes/%d/page", work), deadline: deadline})
 	}
 	var wait sync.WaitGroup
 	for k := range 6 {
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -25,7 +25,7 @@
 }
 
 // upstream is a stand-in for an application upstream. The path of a request says what it does
-// there: /.../work/MS/... occupies a slot for MS milliseconds, /.../crash/... ends the process.
+// there: /.../takes/MS/... occupies a slot for MS milliseconds, /.../crash/... ends the process.
 type upstream struct {
 	id    string
 	slots chan struct{}
@@ -96,7 +96,7 @@
 		select {}
 	}
 	work := 20 * time.Millisecond
-	if _, text, ok := strings.Cut(r.URL.Path, "/work/"); ok {
+	if _, text, ok := strings.Cut(r.URL.Path, "/takes/"); ok {
 		text, _, _ = strings.Cut(text, "/")
 		if ms, err := strconv.Atoi(text); err == nil {
 			work = time.Duration(ms) * time.Millisecond
