Refuse unknown API keys on routes open to anonymous callers

Cause: the lookup of the customer had one result for "no key" and for "a key that nobody holds", and the parser one for "no field" and for "a field that holds no key". Both daemons had both.

Change: caller.Credential tells them apart and caller.Identify decides for both daemons. What a caller presents has to be the key of a customer, on every route. http1.BearerToken reads the field for both front ends. Without customers, an Authorization field that holds no key is ignored as before.

Evidence: sidecar/keys and mesh/keys failed before the change: 200 instead of 401 for an unknown key, a withdrawn one, one in a configuration without customers, another scheme, an empty token, a bare key, and an unknown key behind a known one.

TestSidecar/(keys|path|refusals) and TestMesh/(keys|path|versions) pass with -race -tags lockcheck.

--- a/internal/callerhttp/handler.go
+++ b/internal/callerhttp/handler.go
@@ -34,10 +34,7 @@
 	ReasonHeader = "Lycheehead-Reason"
 )
 
-const (
-	authorization = "Authorization"
-	bearerPrefix  = "Bearer "
-)
+const authorization = "Authorization"
 
 // copyBufferBytes is the size of the buffer for copying a response body.
 const copyBufferBytes = 32 << 10
@@ -80,14 +77,17 @@
 // decodeCall converts an HTTP request to a call. It fails if the request target
 // contains the API key or if the timeout is invalid.
 func (h *Handler) decodeCall(r *http.Request) (*daemon.Call, bool) {
-	key := apiKey(r.Header)
+	key, presented := apiKey(r.Header)
 	if key != "" && strings.Contains(r.RequestURI, key) {
 		return nil, false
 	}
 	c := daemon.NewCall(r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Body, r.ContentLength)
-	if key != "" {
+	switch {
+	case key != "":
 		digest := sha256.Sum256([]byte(key))
-		c.SetKeyDigest(hex.EncodeToString(digest[:]))
+		c.SetCredential(caller.NewCredential(hex.EncodeToString(digest[:])))
+	case presented:
+		c.SetCredential(caller.MalformedCredential[string]())
 	}
 	c.SetIdempotencyKey(r.Header.Get(IdempotencyKeyHeader))
 	if text := r.Header.Get(TimeoutHeader); text != "" {
@@ -104,15 +104,16 @@
 	return c, true
 }
 
-// apiKey returns the caller's API key, or an empty string if there is none.
-func apiKey(h http.Header) string {
-	if key := h.Get(KeyHeader); key != "" {
-		return key
-	}
-	if key, ok := strings.CutPrefix(h.Get(authorization), bearerPrefix); ok {
-		return key
+// apiKey returns the caller's API key, and whether the caller presents anything as a key.
+func apiKey(h http.Header) (key string, presented bool) {
+	switch values := h.Values(KeyHeader); len(values) {
+	case 0:
+		return http1.BearerToken(h)
+	case 1:
+		return values[0], true
 	}
-	return ""
+	// Several keys might name different callers.
+	return "", true
 }
 
 // notForwarded is the set of header fields that the daemon does not forward.
--- a/internal/daemon/call.go
+++ b/internal/daemon/call.go
@@ -28,7 +28,7 @@
 	fields              []Field
 	body                io.Reader
 	length              int64
-	keyDigest           string
+	credential          caller.Credential[string]
 	idempotencyKey      string
 	timeout             time.Duration
 	parent              string
@@ -44,8 +44,9 @@
 // SetFields sets the header fields, which must not contain the caller's API key.
 func (c *Call) SetFields(fields []Field) { c.fields = fields }
 
-// SetKeyDigest sets the SHA-256 digest of the caller's API key, in lower-case hex.
-func (c *Call) SetKeyDigest(digest string) { c.keyDigest = digest }
+// SetCredential sets the credential with the SHA-256 digest of the caller's API key, in lower-case
+// hex.
+func (c *Call) SetCredential(credential caller.Credential[string]) { c.credential = credential }
 
 // SetIdempotencyKey sets the key that identifies repetitions of a request. Empty means
 // none.
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -217,19 +217,21 @@
 		return caller.ReasonNoRoute
 	}
 	customer := w.context.Customer()
-	switch {
-	case route.AllowsAnonymous():
-		return caller.ReasonNone
-	case w.context.Depth() > 0:
-		if _, known := cfg.Customer(customer); !known {
+	if w.context.Depth() > 0 {
+		if _, known := cfg.Customer(customer); !known && !route.AllowsAnonymous() {
 			return caller.ReasonInvalidKey
 		}
 		return caller.ReasonNone
 	}
-	if owner, known := cfg.CustomerByKey(w.keyDigest); !known || owner.Name() != customer {
+	var credential caller.Credential[string]
+	if w.keyDigest != "" {
+		credential = caller.NewCredential(w.keyDigest)
+	}
+	owner, identified, refusal := caller.Identify(credential, !route.AllowsAnonymous(), cfg.CustomerByKey)
+	if identified && owner.Name() != customer {
 		return caller.ReasonInvalidKey
 	}
-	return caller.ReasonNone
+	return refusal
 }
 
 func pathOf(target string) string {
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -91,13 +91,14 @@
 	if !ok {
 		return decision{refusal: caller.ReasonNoRoute}
 	}
+	keyDigest, _ := c.credential.Key()
 	dec := decision{work: &work{
 		method:         c.method,
 		target:         c.target(),
 		fields:         c.fields,
 		route:          route.Prefix(),
 		service:        route.Service(),
-		keyDigest:      c.keyDigest,
+		keyDigest:      keyDigest,
 		length:         c.length,
 		atMostOnce:     route.AtMostOnce(c.method),
 		version:        cfg.Number(),
@@ -133,14 +134,12 @@
 
 // admitExternal admits a request from a caller by the API key.
 func (in *ingress) admitExternal(now time.Time, cfg *platform.Config, c *Call, route platform.Route, timeout time.Duration, dec *decision) caller.Reason {
-	owner, ok := cfg.CustomerByKey(c.keyDigest)
-	switch {
-	case ok:
-		dec.customer = owner
-		dec.rateLimited = !route.AllowsAnonymous()
-	case !route.AllowsAnonymous():
-		return caller.ReasonInvalidKey
+	owner, identified, refusal := caller.Identify(c.credential, !route.AllowsAnonymous(), cfg.CustomerByKey)
+	if refusal != caller.ReasonNone {
+		return refusal
 	}
+	dec.customer = owner
+	dec.rateLimited = identified && !route.AllowsAnonymous()
 	dec.work.context = caller.NewContext(dec.customer.Name(), route.AllowsAnonymous(), now.Add(timeout), 0, caller.MaxRetries)
 	return caller.ReasonNone
 }
@@ -152,6 +151,9 @@
 	if !running {
 		return caller.ReasonInvalidKey
 	}
+	if _, _, refusal := caller.Identify(c.credential, false, cfg.CustomerByKey); refusal != caller.ReasonNone {
+		return refusal
+	}
 	if parent.Depth()+1 >= caller.MaxDepth {
 		return caller.ReasonDepthExceeded
 	}
--- a/internal/sidecar/forged_call_test.go
+++ b/internal/sidecar/forged_call_test.go
@@ -52,6 +52,7 @@
 		{keyed, here, "/read/", "other", caller.ReasonInvalidKey, false, false},
 		{keyed, here, "/read/", "k", caller.ReasonNone, false, false},
 		{keyed, here, "/open/", "k", caller.ReasonNone, false, false},
+		{keyed, here, "/open/", "other", caller.ReasonInvalidKey, false, false},
 		{keyed, here, "/open/", "", caller.ReasonNone, true, true},
 		{keyed, elsewhere, "/open/", "", caller.ReasonNone, true, false},
 		{keyless, here, "/read/", "", caller.ReasonNone, true, true},
@@ -65,7 +66,11 @@
 	} {
 		r := httptest.NewRequest(http.MethodGet, c.path, nil)
 		r.RemoteAddr = c.from
-		d := in.admit(now, c.cfg, r, NewRequestMetadata("x.1", 0, c.key))
+		var credential caller.Credential[string]
+		if c.key != "" {
+			credential = caller.NewCredential(c.key)
+		}
+		d := in.admit(now, c.cfg, r, NewRequestMetadata("x.1", 0, credential))
 		nested, byID := d.request.priority.Nested(), d.request.parent != ""
 		if d.refusal != c.refusal || c.refusal == caller.ReasonNone && (nested != c.nested || byID != c.byID) {
 			t.Errorf("%s from %q with key %q: refusal %q, nested %t, by id %t", c.path, c.from, c.key, d.refusal, nested, byID)
@@ -100,7 +105,7 @@
 	for range 100 {
 		r := httptest.NewRequest(http.MethodGet, "/1", nil)
 		r.RemoteAddr = "10.0.0.2:40000"
-		d := in.admit(now, cfg, r, NewRequestMetadata("x.1", 0, ""))
+		d := in.admit(now, cfg, r, NewRequestMetadata("x.1", 0, caller.Credential[string]{}))
 		if d.forCalls {
 			refused++
 		}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -183,7 +183,7 @@
 	parent, isCall := in.calls.parent(meta.id)
 	// A caller must not get ahead of others by the id that it chooses. Backend servers never see an
 	// API key, so a request with one comes from a customer, and they run on the daemon's machine.
-	isCall = isCall && meta.key == "" && in.machine.isSource(r.RemoteAddr)
+	isCall = isCall && !meta.credential.Presented() && in.machine.isSource(r.RemoteAddr)
 	if isCall {
 		decision.request.makeCall(now, parent, route.Priority())
 	}
@@ -191,9 +191,9 @@
 		decision.refusal, decision.retryAfter = caller.ReasonLeaving, unavailableRetryAfter
 		return decision
 	}
-	customer, known := lookupCustomer(cfg, meta)
-	if !known && !route.AllowsAnonymous() {
-		decision.refusal = caller.ReasonInvalidKey
+	customer, identified, refusal := identify(cfg, route, meta)
+	if refusal != caller.ReasonNone {
+		decision.refusal = refusal
 		return decision
 	}
 	decision.customer = customer
@@ -201,6 +201,8 @@
 	if isCall {
 		return decision
 	}
+	// Without customers, anonymous callers are the only ones.
+	known := identified || cfg.CustomerCount() == 0
 	decision.request.priority = caller.NewPriority(!known, customer.Priority(), route.Priority())
 	if known {
 		retryAfter, ok := in.sender.shortage.Admit(now, decision.request.kind())
@@ -213,13 +215,16 @@
 	return decision
 }
 
-// lookupCustomer returns the customer of a request. ok is also true if the request has no
-// API key and no customers are configured.
-func lookupCustomer(cfg *operator.Config, meta RequestMetadata) (customer operator.Customer, ok bool) {
-	if meta.key == "" {
-		return operator.Customer{}, cfg.CustomerCount() == 0
-	}
-	return cfg.CustomerByKey(operator.DigestKey(meta.key))
+// identify returns the customer of a request, or why it is refused. If no customers are configured, no
+// route requires an API key, and an Authorization field that holds none may be meant for others. A key
+// is refused then, too: it may have been withdrawn with its customer.
+func identify(cfg *operator.Config, route operator.Route, meta RequestMetadata) (customer operator.Customer, identified bool, refusal caller.Reason) {
+	if _, isKey := meta.credential.Key(); !isKey && cfg.CustomerCount() == 0 {
+		return operator.Customer{}, false, caller.ReasonNone
+	}
+	return caller.Identify(meta.credential, !route.AllowsAnonymous(), func(key string) (operator.Customer, bool) {
+		return cfg.CustomerByKey(operator.DigestKey(key))
+	})
 }
 
 // setDeadlines sets the deadline of a request and the time until which it should be
--- a/internal/sidecar/protocol.go
+++ b/internal/sidecar/protocol.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lycheehead/lycheehead/internal/http1"
+	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/operator"
 	"github.com/lycheehead/lycheehead/pkg/replica"
@@ -17,15 +18,14 @@
 type RequestMetadata struct {
 	id      string
 	timeout time.Duration
-	// key is the caller's API key.
-	key string
+	// credential holds the caller's API key.
+	credential caller.Credential[string]
 }
 
 // NewRequestMetadata returns the metadata of a request: its id, the time that the
-// caller waits for a response, or 0 if unknown, and the API key, or "" if there is
-// none.
-func NewRequestMetadata(id string, timeout time.Duration, key string) RequestMetadata {
-	return RequestMetadata{id: id, timeout: timeout, key: key}
+// caller waits for a response, or 0 if unknown, and the credential with the API key.
+func NewRequestMetadata(id string, timeout time.Duration, credential caller.Credential[string]) RequestMetadata {
+	return RequestMetadata{id: id, timeout: timeout, credential: credential}
 }
 
 // Origin is the origin of a request as it is passed to a backend server.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -429,6 +429,12 @@
 		f.grace = f.duration(args[1])
 	case "get", "head", "post", "upload", "chunked":
 		return f.request(args) + "\n"
+	case "authorized": // authorized m1 path value [| value ...]: sends a request with these Authorization fields
+		r := f.newRequest([]string{"get", args[1], args[2], "nokey"})
+		for value := range strings.SplitSeq(strings.Join(args[3:], " "), " | ") {
+			r.Header.Add("Authorization", value)
+		}
+		return f.send(r, !f.untimed) + "\n"
 	case "again": // again get|post ...: sends a request with the id of the last one
 		f.requests--
 		return f.request(args[1:]) + "\n"
--- a/internal/sidecar/startup_test.go
+++ b/internal/sidecar/startup_test.go
@@ -21,7 +21,7 @@
 		{10 * startupTime, 600 * time.Millisecond, 126 * time.Millisecond, 180 * time.Millisecond},
 	} {
 		for range 100 {
-			d := in.admit(begin.Add(c.after), nil, httptest.NewRequest(http.MethodGet, "/", nil), NewRequestMetadata("x", c.left, ""))
+			d := in.admit(begin.Add(c.after), nil, httptest.NewRequest(http.MethodGet, "/", nil), NewRequestMetadata("x", c.left, caller.Credential[string]{}))
 			if d.refusal != caller.ReasonStarting || d.retryAfter < c.least || d.retryAfter > c.most {
 				t.Fatalf("%s after the start with %s left: refusal %q, Retry-After %s", c.after, c.left, d.refusal, d.retryAfter)
 			}
