Refuse what waits at other daemons before a planned stop ends

Cause: a planned stop ended what waits in the daemon's own queue and left the rest to its deadline, which may be later than the exit. Connections were then closed before the contexts of their requests ended. Shown by the logs of sidecar/stop_waiting: "closing" with two requests open, "admission" at the other daemon, not run, after 3.77 s of waiting, and "stopped" with cut 2.

Change: attempts that may not have begun are kept in one table, with an offer that is committed when the request is sent to a backend server. A stopping daemon gives up those that would most likely outlast it if they began now (caller.Shutdown.MayStart), here at once and at another daemon by a message with their numbers, repeated each 0.25 s. The other daemon refuses those that have not begun, and its response says so, so that 503 is true. What is open 75 ms before the exit ends as unknown, with 502 instead of a closed connection. A request that may be repeated is sent elsewhere if the daemon that ran it stops, also where that daemon says so itself (upstream.RetryState).

Why it works: the offer decides between "refused" and "begun" at the one daemon that knows, in whichever order the message, the request and its slot arrive.

Evidence: three of five sections of sidecar/stop_waiting, and sidecar/stop_lost, in which the first messages are lost, failed before ("no answer"). Two sections of sidecar/uploads stated "no answer" for a body that has not arrived at the exit; they state 502 unknown now.

Related paths: run waits 0.5 s at most for another daemon, which its stop outlasts. What runs at a backend server at the exit is lost as before; run cuts it without a response.

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -13,6 +13,7 @@
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
+	"github.com/lycheehead/lycheehead/pkg/handover"
 	"github.com/lycheehead/lycheehead/pkg/upstream"
 	"github.com/lycheehead/lycheehead/pkg/workers"
 )
@@ -61,6 +62,7 @@
 	running atomic.Int64
 	// calls holds the requests at the backend server, whose ids the ids of calls extend.
 	calls    *runningRequests
+	waiting  *waitingRequests
 	metrics  *metrics
 	shutdown *shutdown
 }
@@ -100,6 +102,10 @@
 func (a *admission) admitAndRun(ctx context.Context, req *request, instance string, redirectable bool) *result {
 	begin := time.Now()
 	defer req.body.inflow.end()
+	ctx, cancel := a.shutdown.untilEnd(ctx)
+	defer cancel(nil)
+	start := &handover.Offer{}
+	defer a.waiting.add(req.number, waitingRequest{req: req, offer: start, cancel: cancel})()
 	if r := a.awaitLink(ctx, req, instance, redirectable); r != nil {
 		r.waited = time.Since(begin)
 		return r
@@ -118,7 +124,7 @@
 	r := a.awaitSlot(ctx, req, decision)
 	waited := time.Since(begin)
 	if r == nil {
-		r = a.run(ctx, req, decision)
+		r = a.run(ctx, req, decision, start)
 	} else {
 		r.instance = decision.instance
 	}
@@ -251,9 +257,9 @@
 	backend.Finished:   caller.ReasonCancelled,
 }
 
-// run sends an admitted request. The process may have been suspended while the request
-// was queued, so the instance, the context and the deadline are checked again.
-func (a *admission) run(ctx context.Context, req *request, decision queueDecision) *result {
+// run sends an admitted request unless it has been given up. The process may have been suspended while
+// the request was queued, so the instance, the context and the deadline are checked again.
+func (a *admission) run(ctx context.Context, req *request, decision queueDecision, start *handover.Offer) *result {
 	if err := a.connectFirst(ctx, &req.body); err != nil {
 		return a.handleSendError(ctx, time.Now(), req, decision.entry, err)
 	}
@@ -280,6 +286,8 @@
 		reason = caller.ReasonCancelled
 	case remaining <= 0:
 		reason = caller.ReasonDeadlineExceeded
+	case reason == caller.ReasonNone && !start.Commit():
+		reason = caller.ReasonLeaving
 	}
 	if reason != caller.ReasonNone {
 		a.finish(now, decision.entry, backend.Cancelled)
@@ -293,6 +301,9 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), remaining)
 		defer cancel()
+		var end context.CancelCauseFunc
+		ctx, end = a.shutdown.untilEnd(ctx)
+		defer end(nil)
 	}
 	a.running.Add(1)
 	defer a.running.Add(-1)
@@ -397,8 +408,11 @@
 
 // contextReason maps the cause for which a context ended to a reason.
 func contextReason(ctx context.Context) caller.Reason {
-	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded):
 		return caller.ReasonDeadlineExceeded
+	case errors.Is(cause, errStopping):
+		return caller.ReasonLeaving
 	}
 	return caller.ReasonCancelled
 }
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -69,7 +69,7 @@
 					req.makeCall(now, parent, rank(f[2]))
 				}
 				requests[req.id] = req
-				got := decodeHop(encodeHop(req, "i1", now, false), now)
+				got := decodeHop(encodeHop(req, "i1", 1, now, false), now)
 				nested, _, route := got.priority.Components()
 				callRank, _ := got.priority.CallRank()
 				fmt.Fprintf(&out, "%s: call %t, ranks %d %d, deadline %s, objective %s, spent %s, resent %t\n", line, nested, route,
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -60,6 +60,7 @@
 	ingress         *ingress
 	inbound         *inbound
 	sender          *sender
+	waiting         *waitingRequests
 	peers           *peerClients
 	pool            *workers.Pool
 	metrics         *metrics
@@ -124,6 +125,7 @@
 		monitor:  suspend.NewMonitor(suspend.Start().Elapsed),
 	}
 	d.shutdown = newShutdown(d.monitor)
+	d.waiting = newWaitingRequests()
 	d.state = newFleetState(p.decoder, d.events, now)
 	bounds := s.GetBounds()
 	rateBound := RateBound(bounds)
@@ -146,6 +148,7 @@
 		self:       inboundAddr.Addr().String(),
 		centre:     s.GetCentre(),
 		quarantine: d.admission.quarantine,
+		waiting:    d.waiting,
 		ctx:        ctx,
 		pushes:     newPushTable(),
 		transfers:  peer.NewTransfers(maxTransfers),
@@ -170,6 +173,8 @@
 		pool:         d.pool,
 		balancer:     balancer,
 		admission:    d.admission,
+		waiting:      d.waiting,
+		shutdown:     d.shutdown,
 		peers:        d.peers,
 		resendBudget: newResendBudget(bounds),
 		fleetShare:   d.gossiper.fleetShare,
@@ -229,6 +234,7 @@
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
 		calls:      newRunningRequests(p),
+		waiting:    d.waiting,
 		metrics:    d.metrics,
 	}
 }
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -145,6 +145,9 @@
 		g.quarantine.RecordCrash(now, backend.NewRequestKey(c.GetCustomer(), c.GetFingerprint()))
 		g.events.stateChange("crash report received", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
 	}
+	if numbers := m.GetWithdrawn(); len(numbers) > 0 {
+		g.events.stateChange("requests withdrawn", "from", m.GetFrom(), "requests", len(numbers), "refused", g.waiting.withdraw(numbers))
+	}
 	g.limiter.applyLeases(now, m.GetFrom(), m.GetShares())
 	if ip := m.GetUnreached(); ip != "" && ip != g.self {
 		g.events.spawn(func() { g.detector.checkReachable(ip) })
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -56,6 +56,7 @@
 	limiter    *rateLimiter
 	detector   *failureDetector
 	quarantine *backend.Quarantine
+	waiting    *waitingRequests
 	ctx        context.Context //nolint:containedctx // the daemon's context, for background work
 	// pushes holds the state of the pushes to each daemon, by IP address.
 	pushes *table.Table[string, pushState]
--- a/internal/sidecar/hop.go
+++ b/internal/sidecar/hop.go
@@ -45,7 +45,7 @@
 }
 
 // encodeHop returns the message that describes a request to the daemon of an instance.
-func encodeHop(req *request, instance string, now time.Time, redirectable bool) *schema.Hop {
+func encodeHop(req *request, instance string, number uint64, now time.Time, redirectable bool) *schema.Hop {
 	nested, customer, route := req.priority.Components()
 	// The receiver measures time from the arrival of the request, so the time that this
 	// machine was suspended is subtracted here.
@@ -66,6 +66,7 @@
 		Route:        proto.String(req.route),
 		Spent:        proto.Int64(req.spent.Microseconds()),
 		Resent:       proto.Bool(req.resent),
+		Number:       proto.Uint64(number),
 	}.Build()
 	if rank, ok := req.priority.CallRank(); ok {
 		hop.SetCallRank(uint32(rank))
@@ -93,6 +94,7 @@
 		configVersion: m.GetVersion(),
 		spent:         time.Duration(m.GetSpent()) * time.Microsecond,
 		resent:        m.GetResent(),
+		number:        m.GetNumber(),
 		suspended:     suspend.Start(),
 	}
 }
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -331,6 +331,18 @@
 	}
 }
 
+// withdraw asks a daemon to refuse attempts that it has not begun.
+func (g *gossiper) withdraw(ip string, numbers []uint64) {
+	m := g.newMessage()
+	m.SetWithdrawn(numbers)
+	g.events.stateChange("withdrawing requests", "ip", ip, "requests", len(numbers))
+	g.events.spawn(func() {
+		if _, err := g.peers.exchange(g.ctx, ip, pingTimeout, m); err != nil {
+			g.events.stateChange("withdrawal not delivered", "ip", ip, "error", err.Error())
+		}
+	})
+}
+
 // broadcastUnreachable reports a daemon that does not answer to the other daemons of
 // the data centre.
 func (g *gossiper) broadcastUnreachable(ip string) {
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -40,6 +40,8 @@
 	// resent indicates that the request, or the one that made it, has reached another backend
 	// server before.
 	resent bool
+	// number identifies the attempt of another daemon as which the request came, or is 0.
+	number uint64
 	// suspended measures how long the machine was suspended. The monotonic clock of
 	// deadline and objective does not include that time.
 	suspended suspend.Meter
--- a/internal/sidecar/sender.go
+++ b/internal/sidecar/sender.go
@@ -42,6 +42,8 @@
 	pool         *workers.Pool
 	balancer     *upstream.Balancer[upstream.LatencyCost]
 	admission    *admission
+	waiting      *waitingRequests
+	shutdown     *shutdown
 	peers        *peerClients
 	detector     *failureDetector
 	resendBudget *caller.ResendBudget
@@ -60,6 +62,8 @@
 	// backend server. A response is followed by another attempt only if its status
 	// reports a failure.
 	failedResponse *result
+	// stopping states that the request is not sent since the daemon is stopping.
+	stopping bool
 }
 
 // send sends a request, with at most the given number of attempts, and returns the
@@ -92,7 +96,13 @@
 // mayAttempt reports whether another attempt may be made.
 func (s *sender) mayAttempt(ctx context.Context, req *request, state *sendState) bool {
 	more, resend := state.NextAttempt(time.Now(), req.deadline)
-	return more && ctx.Err() == nil && (!resend || s.mayResend(req, state))
+	return more && ctx.Err() == nil && s.mayStart(req, state) && (!resend || s.mayResend(req, state))
+}
+
+// mayStart reports whether a request may be sent to an instance although the daemon may be stopping.
+func (s *sender) mayStart(req *request, state *sendState) bool {
+	state.stopping = !s.shutdown.mayStart(time.Now(), req, s.balancer.MeanRunTime(req.route))
+	return !state.stopping
 }
 
 // mayResend reports whether a request that a backend server has received may be sent to
@@ -116,7 +126,7 @@
 // instance that expects to have capacity first, to wait in its queue.
 func (s *sender) sendFallback(ctx context.Context, req *request, state *sendState) {
 	id, resend := state.Fallback(time.Now(), req.deadline)
-	if id == "" || ctx.Err() != nil || resend && !s.mayResend(req, state) {
+	if id == "" || ctx.Err() != nil || !s.mayStart(req, state) || resend && !s.mayResend(req, state) {
 		return
 	}
 	i, usable, ok := s.fleet.Get(time.Now(), id)
@@ -185,16 +195,17 @@
 // sendRemote sends a request to the daemon of an instance on another machine.
 func (s *sender) sendRemote(ctx context.Context, req *request, placement upstream.Placement, redirectable bool) *result {
 	ip, instance := placement.Instance().Address().Host(), placement.Instance().ID()
-	h := req.header.Clone()
-	if err := setMessage(h, hopHeader, encodeHop(req, instance, time.Now(), redirectable)); err != nil {
+	h, number := req.header.Clone(), newAttemptNumber()
+	if err := setMessage(h, hopHeader, encodeHop(req, instance, number, time.Now(), redirectable)); err != nil {
 		s.events.request(logs.Refusal, "encoding hop header failed", req.id, "error", err.Error())
 		return notRun(caller.ReasonBadRequest)
 	}
 	httpReq := http1.NewRequest(req.method, req.target, req.host, h)
 	httpReq.SetBody(req.body.prefix, req.body.rest, req.body.length)
-	ctx, cancel := context.WithCancelCause(ctx)
+	ctx, cancel := s.shutdown.untilEnd(ctx)
 	defer cancel(nil)
 	offer := &handover.Offer{}
+	defer s.waiting.add(number, waitingRequest{req: req, daemon: ip, offer: offer, cancel: cancel})()
 	// A request that runs once can't be sent elsewhere once it is committed, even if the daemon
 	// stops responding.
 	mayGiveUp := func() bool { return !req.atMostOnce || offer.Withdraw() }
@@ -308,6 +319,8 @@
 	switch {
 	case r == nil && ctx.Err() != nil:
 		return refusedResponse(contextReason(ctx), 0)
+	case r == nil && state.stopping:
+		return refusedResponse(caller.ReasonLeaving, unavailableRetryAfter)
 	case r == nil:
 		return refusedResponse(caller.ReasonNoBackend, jitter(minRetryAfter))
 	case r.outcome == caller.OutcomeRan:
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -468,6 +468,9 @@
 			args[1], f.requests, timeoutOf(args[1]).Milliseconds(), authorization)
 	case "reached": // reached m1 path: waits until a request has reached the backend server
 		f.waitFor(func() bool { return f.backends[args[1]].hasSeen(args[2]) })
+	case "waiting": // waiting m1 n: waits until n requests wait in the queue of a daemon
+		n, _ := strconv.Atoi(args[2])
+		f.waitFor(func() bool { return f.daemons[args[1]].Waiting() == n })
 	case "cancelled": // cancelled m1 path: waits until the work on a request has been cancelled
 		f.waitFor(func() bool { return f.backends[args[1]].hasCancelled(args[2]) })
 	case "half": // half path [ms]: sends a request without the end of its body, with a deadline of 800 ms by default
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -43,10 +43,26 @@
 	refusing, backendClosed atomic.Bool
 	// bodies refuses requests whose body is still arriving.
 	bodies *stop.Bodies
+	// ending ends once all requests that are still open are given up.
+	ending context.Context //nolint:containedctx // a state, not a call
+	end    context.CancelFunc
 }
 
 func newShutdown(m *suspend.Monitor) *shutdown {
-	return &shutdown{monitor: m, bodies: stop.NewBodies()}
+	s := &shutdown{monitor: m, bodies: stop.NewBodies()}
+	s.ending, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// untilEnd returns a copy of the context of a request that also ends when all open requests are given
+// up, with the cause errStopping.
+func (s *shutdown) untilEnd(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.ending, func() { cancel(errStopping) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+	}
 }
 
 // stopping reports whether the daemon is stopping. Connections are then closed after their
@@ -60,21 +76,35 @@
 	return p == nil || p.Accepts(s.monitor.Clock(now), s.monitor.Clock(req.deadline), meanRunTime(req.route))
 }
 
+// mayStart reports whether a request that was accepted may still be sent to an instance. runTime is the
+// mean run time of such requests.
+func (s *shutdown) mayStart(now time.Time, req *request, runTime time.Duration) bool {
+	p := s.plan.Load()
+	return p == nil || p.MayStart(s.monitor.Clock(now), s.monitor.Clock(req.deadline), runTime)
+}
+
 // Stop ends the daemon within its grace time. The daemon reports that it is not ready, and
 // serves what can be answered before its exit until its callers have left. It then sends no
 // more requests to its backend server, waits for those that are running, with the calls that
-// they lead to, and ends. The grace time counts from the signal, which may have waited while
-// the process did not run, and goes on while the machine is suspended.
+// they lead to, and ends. Requests that would outlast it are refused while they wait, here and at
+// other daemons, and those that still run just before the exit have an unknown outcome. The grace
+// time counts from the signal, which may have waited while the process did not run, and goes on
+// while the machine is suspended.
 func (d *Daemon) Stop() error {
 	times := stop.NewPlan(d.monitor, cmp.Or(d.currentSettings.Load().GetBounds().GetGrace().AsDuration(), defaultGrace))
 	last, noticed := times.Last(), times.Begin().Add(drainDelay)
 	plan := caller.NewShutdown(times.Begin(), last, drainDelay)
 	d.shutdown.plan.Store(&plan)
+	end, cancel := d.monitor.WithDeadline(context.Background(), times.GiveUp())
+	defer cancel()
+	defer context.AfterFunc(end, d.shutdown.end)()
+	withdrawals := newWithdrawals(d, plan)
 	d.events.stateChange("stop", "delay", times.Delay().String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
 	// Another daemon has to take over reading the store for the data centre.
 	d.watcher.leaving.Store(true)
 	d.gossiper.syncCentre()
 	d.waitUntil(last, idleBeforeRefusal, func() bool {
+		withdrawals.run()
 		return !d.monitor.Now().Before(noticed) && d.openRequests.Load() == 0
 	})
 	d.shutdown.backendClosed.Store(true)
@@ -82,8 +112,10 @@
 	d.admission.queue.SetClosed(true)
 	// The calls that the backend server makes for running requests count as open requests.
 	d.waitUntil(last, idleBeforeRefusal, func() bool {
+		withdrawals.run()
 		return d.openRequests.Load() == 0 && d.admission.running.Load() == 0
 	})
+	withdrawals.run()
 	d.shutdown.refusing.Store(true)
 	d.shutdown.bodies.Refuse()
 	d.events.stateChange("closing", "took", d.monitor.Now().Sub(times.Begin()).String(), "open", d.openRequests.Load(), "running", d.admission.running.Load())
--- a/internal/stop/plan.go
+++ b/internal/stop/plan.go
@@ -13,6 +13,9 @@
 	// answerBeforeExit is how long before that the last response is due. It is the time
 	// for writing responses and closing connections.
 	answerBeforeExit = 150 * time.Millisecond
+	// giveUpBeforeExit is how long before that requests that are still open are given up, which
+	// leaves time to tell their callers.
+	giveUpBeforeExit = 75 * time.Millisecond
 )
 
 // Plan holds the times of a planned stop, by the clock of a suspend.Monitor. Use NewPlan to
@@ -41,5 +44,8 @@
 // Last returns the time at which the last response is due.
 func (p Plan) Last() time.Time { return p.last }
 
+// GiveUp returns the time at which requests that are still open are given up.
+func (p Plan) GiveUp() time.Time { return p.exit.Add(-giveUpBeforeExit) }
+
 // Exit returns the time at which connections are closed even if requests are still open.
 func (p Plan) Exit() time.Time { return p.exit }
--- a/pkg/caller/shutdown.go
+++ b/pkg/caller/shutdown.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// runTimeMargin is the multiple of its mean run time that a request may take at most, for the
-// purposes of Shutdown.
-const runTimeMargin = 4
+// The multiples of its mean run time that a request may take at most, for the purposes of Shutdown:
+// acceptMargin with the time for which it waits, startMargin without.
+const (
+	acceptMargin = 4
+	startMargin  = 2
+)
 
 // Shutdown decides which requests a process accepts during a planned stop. A request that is
 // still running when the process exits is lost, and its caller cannot tell whether it ran. A
@@ -34,5 +37,12 @@
 	if !deadline.After(s.end) {
 		return true
 	}
-	return now.Before(s.noticed) && now.Add(runTimeMargin*runTime).Before(s.end)
+	return now.Before(s.noticed) && now.Add(acceptMargin*runTime).Before(s.end)
+}
+
+// MayStart reports whether a request that was accepted may still be sent to a backend server at now,
+// or wait to be sent. It may if it is given up before the end, or most likely ends in time.
+// Otherwise it is refused while that is certain, rather than cut off with an unknown outcome.
+func (s Shutdown) MayStart(now, deadline time.Time, runTime time.Duration) bool {
+	return !deadline.After(s.end) || now.Add(startMargin*runTime).Before(s.end)
 }
--- a/pkg/caller/shutdown_test.go
+++ b/pkg/caller/shutdown_test.go
@@ -11,9 +11,9 @@
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
-// TestShutdown guards against requests that a process accepts during a planned stop and cuts
-// off at its end. Each line of a script is the time since the stop began, the time until the
-// deadline of a request, and its mean run time.
+// TestShutdown guards against requests that a process accepts during a planned stop, or still starts
+// then, and cuts off at its end. Each line of a script is the time since the stop began, the time until
+// the deadline of a request, and its mean run time.
 func TestShutdown(t *testing.T) {
 	begin := time.Unix(1_700_000_000, 0)
 	datadriven.RunTest(t, "testdata/shutdown", func(t *testing.T, d *datadriven.TestData) string {
@@ -25,9 +25,12 @@
 		for line := range strings.SplitSeq(d.Input, "\n") {
 			f := strings.Fields(line)
 			now := begin.Add(duration(t, f[0]))
-			verdict := "refused"
-			if s.Accepts(now, now.Add(duration(t, f[1])), duration(t, f[2])) {
-				verdict = "accepted"
+			decide, verdict := s.Accepts, "accepted"
+			if d.Cmd == "start" {
+				decide, verdict = s.MayStart, "started"
+			}
+			if !decide(now, now.Add(duration(t, f[1])), duration(t, f[2])) {
+				verdict = "refused"
 			}
 			fmt.Fprintf(&out, "%s: %s\n", line, verdict)
 		}
--- a/pkg/upstream/retry.go
+++ b/pkg/upstream/retry.go
@@ -167,7 +167,7 @@
 	case caller.OutcomeRan:
 		return s.atMostOnce || !s.last.failed
 	case caller.OutcomeUnknown:
-		return s.atMostOnce || s.last.reason != caller.ReasonResponseLost
+		return s.atMostOnce || s.last.reason != caller.ReasonResponseLost && s.last.reason != caller.ReasonLeaving
 	}
 	switch s.last.reason {
 	case caller.ReasonDeadlineExceeded, caller.ReasonCancelled, caller.ReasonQuarantined, caller.ReasonBadRequest:
