Exchange what daemons know of requests that crash backend servers

Cause: the records of the quarantine lived in one process and were told once. A daemon that starts, comes back from a cut or misses the message knew nothing. Apart from that, the quarantine ended after a minute at all daemons at once, for as long as the request came; an answer cleared it at one daemon only; and a request that waited behind the check ran all the same.

Change: crashes have ids and are merged as a set, with whether an answer followed. Control messages carry a digest of the records of requests with more than one crash; the answer to another digest contains them, and the sender returns what the other lacks. A daemon that starts asks three others. Answers to such requests are told to all. Requests are checked again before they are sent.

Why it works: a record outlives each process as long as one daemon runs, and order, repeats and restarts do not change what is merged.

After a restart of the whole fleet nobody knows (the end of spread/quarantine).

--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -47,9 +47,9 @@
 	// budget bounds the memory for bodies.
 	budget     *http1.Budget
 	quarantine *backend.Quarantine
-	// reportCrash notifies the other daemons of a request during which the backend
-	// server crashed.
-	reportCrash func(backend.RequestKey)
+	// reportCrashes notifies the other daemons of requests during which the backend server crashed,
+	// or that it has answered since.
+	reportCrashes func([]backend.CrashReport)
 	// status is the observed state of the backend server.
 	status *backendStatus
 	// daemonRestarted indicates that an earlier daemon process may have run on this
@@ -147,7 +147,7 @@
 // capacity there is.
 func (a *admission) check(now time.Time, req *request, instance string) (string, caller.Reason) {
 	id, reason := a.resolveInstance(now, req, instance)
-	if reason == caller.ReasonNone && a.quarantine.Quarantined(now, requestKey(req)) {
+	if reason == caller.ReasonNone && !a.quarantine.Admit(now, requestKey(req)) {
 		reason = caller.ReasonQuarantined
 	}
 	return id, reason
@@ -258,7 +258,8 @@
 }
 
 // run sends an admitted request unless it has been given up. The process may have been suspended while
-// the request was queued, so the instance, the context and the deadline are checked again.
+// the request was queued, and equal requests may have crashed backend servers, so the instance, the
+// quarantine, the context and the deadline are checked again.
 func (a *admission) run(ctx context.Context, req *request, decision queueDecision, start *handover.Offer) *result {
 	if err := a.connectFirst(ctx, &req.body); err != nil {
 		return a.handleSendError(ctx, time.Now(), req, decision.entry, err)
@@ -282,6 +283,8 @@
 	switch {
 	case ctx.Err() != nil:
 		reason = contextReason(ctx)
+	case reason == caller.ReasonNone && a.quarantine.Quarantined(now, requestKey(req)):
+		reason = caller.ReasonQuarantined
 	case !req.body.receipt.MayBegin():
 		reason = caller.ReasonCancelled
 	case remaining <= 0:
@@ -356,7 +359,9 @@
 		return r
 	}
 	a.finish(now, entry, backend.Served)
-	a.quarantine.RecordAnswer(requestKey(req))
+	if answered := a.quarantine.RecordAnswer(requestKey(req)); len(answered) > 0 {
+		a.reportCrashes(answered)
+	}
 	return &result{outcome: caller.OutcomeRan, delivered: true, status: resp.Status(), header: resp.Header(), body: resp.Body(), lease: resp.Lease()}
 }
 
--- a/internal/sidecar/backend_status.go
+++ b/internal/sidecar/backend_status.go
@@ -7,6 +7,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/http1"
 	"github.com/lycheehead/lycheehead/internal/logs"
+	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/fleet"
 	"github.com/lycheehead/lycheehead/pkg/lock"
 	"github.com/lycheehead/lycheehead/pkg/operator"
@@ -121,9 +122,11 @@
 	now := time.Now()
 	a.recordUnreachable(now, err)
 	key := requestKey(req)
-	a.quarantine.RecordCrash(now, key)
+	report, counted := a.quarantine.RecordCrash(now, key)
 	a.events.request(logs.Unknown, "backend server died", req.id, "customer", key.Customer(), "fingerprint", key.Fingerprint())
-	a.reportCrash(key)
+	if counted {
+		a.reportCrashes([]backend.CrashReport{report})
+	}
 }
 
 // recordUnreachable stops requests to a backend server that accepts no connection, for
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -156,7 +157,7 @@
 	seeds := seedIPs(s)
 	d.gossiper.seeds.Store(&seeds)
 	d.currentSettings.Store(s)
-	d.admission.reportCrash = d.gossiper.broadcastCrash
+	d.admission.reportCrashes = d.gossiper.broadcastCrashes
 	d.watcher.onStoreUnreachable = d.gossiper.syncCentre
 	d.watcher.onTakeover = d.gossiper.syncCentre
 	balancer := upstream.NewBalancer(upstream.LatencyCost{}, inboundAddr.Addr().String(), s.GetCentre())
@@ -230,7 +231,7 @@
 		link:       newLinkPacer(d.settings.GetLink(), d.events),
 		client:     http1.NewClient(address.String(), backendDialTimeout, maxIdleBackendConns).WithBudget(d.budget),
 		budget:     d.budget,
-		quarantine: backend.NewQuarantine(),
+		quarantine: backend.NewQuarantine().WithStagger(rand.Float64()), //nolint:gosec // no secret
 		status:     &backendStatus{mu: lock.New(lock.Calls)},
 		shutdown:   d.shutdown,
 		calls:      newRunningRequests(p),
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lycheehead/lycheehead/internal/schema"
-	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/replica"
 )
 
@@ -25,6 +24,8 @@
 		setLost(m, lost)
 	}
 	m.SetRemovals(g.messageRemovals(time.Now()))
+	_, digest := g.quarantine.Shared(time.Now())
+	m.SetQuarantine(digest)
 	return m
 }
 
@@ -141,10 +142,7 @@
 	}
 	g.receiveLostConfig(now, m)
 	g.receiveRemovals(now, m)
-	for _, c := range m.GetCrashes() {
-		g.quarantine.RecordCrash(now, backend.NewRequestKey(c.GetCustomer(), c.GetFingerprint()))
-		g.events.stateChange("crash report received", "customer", c.GetCustomer(), "fingerprint", c.GetFingerprint(), "from", m.GetFrom())
-	}
+	g.receiveCrashes(now, m)
 	if numbers := m.GetWithdrawn(); len(numbers) > 0 {
 		g.events.stateChange("requests withdrawn", "from", m.GetFrom(), "requests", len(numbers), "refused", g.waiting.withdraw(numbers))
 	}
--- a/internal/sidecar/fakes_test.go
+++ b/internal/sidecar/fakes_test.go
@@ -199,6 +199,10 @@
 		b.seen = append(b.seen, "with X-Private")
 	}
 	b.mu.Unlock()
+	if strings.HasSuffix(r.URL.Path, "/poison") {
+		b.stop()
+		return
+	}
 	if hold != nil {
 		<-hold
 	}
--- a/internal/sidecar/gossiper.go
+++ b/internal/sidecar/gossiper.go
@@ -152,6 +152,7 @@
 		setLost(answer, lost)
 		answer.SetConfig(messageItems([]replica.Item{lost.item})[0])
 	}
+	g.shareCrashes(now, m, answer)
 	answer.SetShares(g.limiter.renewLeases(now, m))
 	if m.HasBorrow() {
 		answer.SetLent(g.limiter.handleTokenRequest(now, m.GetBorrow()))
@@ -266,6 +267,7 @@
 	likely := peer.Top(g.centre, g.strangers(), maxGreetings)
 	g.greet(likely)
 	g.greetRandom()
+	g.askForCrashes()
 }
 
 // runHeartbeats periodically syncs with all daemons of the data centre while this
--- a/internal/sidecar/push.go
+++ b/internal/sidecar/push.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/lock"
@@ -286,6 +284,7 @@
 			continue
 		}
 		behind := g.receive(time.Now(), answer)
+		g.returnCrashes(ip, answer)
 		if !behind || p.remote && time.Duration(answer.GetAge())*time.Microsecond <= outdatedAge {
 			return g.reachedPosition(answer), nil
 		}
@@ -314,15 +313,22 @@
 	}
 }
 
-// broadcastCrash reports a request during which a backend server crashed to all
-// other daemons.
-func (g *gossiper) broadcastCrash(key backend.RequestKey) {
+// broadcastCrashes reports requests during which a backend server crashed, or that one has answered
+// since, to all other daemons.
+func (g *gossiper) broadcastCrashes(reports []backend.CrashReport) {
+	var crashes, answered []backend.CrashReport
+	for _, r := range reports {
+		if r.Answered() {
+			answered = append(answered, r)
+		} else {
+			crashes = append(crashes, r)
+		}
+	}
 	for _, h := range g.otherHosts() {
 		m := g.newMessage()
-		m.SetCrashes([]*schema.Crash{schema.Crash_builder{
-			Customer:    proto.String(key.Customer()),
-			Fingerprint: proto.Uint64(key.Fingerprint()),
-		}.Build()})
+		// Daemons of earlier versions take each of these for a crash.
+		m.SetCrashes(encodeCrashes(time.Now(), crashes))
+		m.SetCrashed(encodeCrashes(time.Now(), answered))
 		g.events.spawn(func() {
 			if _, err := g.peers.exchange(g.ctx, h.IP(), controlTimeout, m); err != nil {
 				g.events.stateChange("crash report not delivered", "ip", h.IP(), "error", err.Error())
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -404,6 +404,12 @@
 		f.panics.Store(args[1])
 	case "crash":
 		f.backends[args[1]].stop()
+	case "revive": // revive m1...: starts backend servers again, also those that have crashed
+		for _, name := range args[1:] {
+			f.backends[name].stop()
+			f.backends[name].start(f.t)
+		}
+		time.Sleep(500 * time.Millisecond)
 	case "stop":
 		d := f.daemons[args[1]]
 		f.stops.Go(func() { _ = d.Stop() })
--- a/internal/sidecar/spread_test.go
+++ b/internal/sidecar/spread_test.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/lycheehead/lycheehead/internal/logs"
+	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 )
 
@@ -258,6 +259,16 @@
 			s, _ := cfg.Service(testService)
 			return s.HealthPath() != "/"+step[1]
 		})
+	case "crash", "answer": // crash ID NAME: the backend server beside a daemon crashes with a request, or answers it
+		n.report(step[0] == "crash", testRequest(t, step[1]), n.nodes[step[2]].gossiper)
+	case "quarantined": // quarantined ID: which daemons do not quarantine a request
+		return n.listNodes(func(node *testNode) bool {
+			return !node.gossiper.quarantine.Quarantined(time.Now(), testRequest(t, step[1]))
+		})
+	case "free": // free ID: which daemons quarantine a request
+		return n.listNodes(func(node *testNode) bool {
+			return node.gossiper.quarantine.Quarantined(time.Now(), testRequest(t, step[1]))
+		})
 	case "evacuated": // evacuated CENTRE: which daemons hold that it is in service
 		return n.listNodes(func(node *testNode) bool { return !node.gossiper.fleet.Evacuated(step[1]) })
 	case "compact": // compact PREFIX: watches fail with a discarded history, and lists of PREFIX
@@ -331,6 +342,22 @@
 	return ""
 }
 
+// testRequest returns the key of a request.
+func testRequest(t *testing.T, id string) backend.RequestKey {
+	return backend.NewRequestKey(testCustomer, uint64(atoi(t, id)))
+}
+
+// report lets a daemon record a crash with a request, or an answer to it.
+func (n *testNet) report(crash bool, key backend.RequestKey, g *gossiper) {
+	if !crash {
+		g.broadcastCrashes(g.quarantine.RecordAnswer(key))
+		return
+	}
+	if report, counted := g.quarantine.RecordCrash(time.Now(), key); counted {
+		g.broadcastCrashes([]backend.CrashReport{report})
+	}
+}
+
 func atoi(t *testing.T, text string) int {
 	v, err := strconv.Atoi(text)
 	if err != nil {
--- a/pkg/backend/crashreports.go
+++ b/pkg/backend/crashreports.go
@@ -39,6 +39,8 @@
 	id  uint64
 	key RequestKey
 	at  time.Time
+	// answered states that a backend server has run an equal request since without a crash.
+	answered bool
 }
 
 // NewCrashReport returns the report of a crash at a time. The id, which is not 0, differs from
@@ -47,6 +49,16 @@
 	return CrashReport{id: id, key: key, at: at}
 }
 
+// WithAnswer returns a copy of the report with whether a backend server has run an equal request since
+// without a crash.
+func (r CrashReport) WithAnswer(answered bool) CrashReport {
+	r.answered = answered
+	return r
+}
+
+// Answered reports whether a backend server has run an equal request since without a crash.
+func (r CrashReport) Answered() bool { return r.answered }
+
 // ID returns what identifies the report among those of its sender.
 func (r CrashReport) ID() uint64 { return r.id }
 
--- a/pkg/backend/gate_test.go
+++ b/pkg/backend/gate_test.go
@@ -84,6 +84,8 @@
 		"bears":      restartNoticed,
 		"unnoticed":  restartUnnoticed,
 		"quarantine": quarantineLimitsCrashes,
+		"restarts":   restartsLimitCrashes,
+		"merges":     mergesAgree,
 	})
 }
 
