Exchange crash records between the daemons of run, too

What callers saw: the same as at sidecar daemons. After a restart of a daemon of run, a request in quarantine crashed its backend server, and the caller got 502 instead of 403.

Cause: a crash report is repeated until the other daemon acknowledges it, but that process may end a moment later, and nothing told its successor.

Change: gossip messages carry the digest of the records, and the answer to another digest contains them. A daemon gossips with those that it asks for the version at its start. The reporting daemon records its own crash by the same id as those it tells.

--- a/internal/daemon/convert.go
+++ b/internal/daemon/convert.go
@@ -8,6 +8,7 @@
 
 	"github.com/lycheehead/lycheehead/internal/bundle"
 	"github.com/lycheehead/lycheehead/internal/schema"
+	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/caller"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/platform"
@@ -163,6 +164,29 @@
 	}
 }
 
+func encodeCrashes(now time.Time, reports []backend.CrashReport) []*schema.Death {
+	list := make([]*schema.Death, 0, len(reports))
+	for _, r := range reports {
+		list = append(list, schema.Death_builder{
+			Customer:    proto.String(r.Key().Customer()),
+			Fingerprint: proto.Uint64(r.Key().Fingerprint()),
+			Id:          proto.Uint64(r.ID()),
+			Age:         durationpb.New(now.Sub(r.At())),
+			Answered:    proto.Bool(r.Answered()),
+		}.Build())
+	}
+	return list
+}
+
+func decodeCrashes(now time.Time, list []*schema.Death) []backend.CrashReport {
+	reports := make([]backend.CrashReport, 0, len(list))
+	for _, m := range list {
+		key := backend.NewRequestKey(m.GetCustomer(), m.GetFingerprint())
+		reports = append(reports, backend.NewCrashReport(m.GetId(), key, now.Add(-m.GetAge().AsDuration())).WithAnswer(m.GetAnswered()))
+	}
+	return reports
+}
+
 func encodeReply(r *reply) *schema.Answer {
 	m := schema.Reply_builder{
 		Outcome: outcomes.forward[r.outcome].Enum(),
--- a/internal/daemon/core.go
+++ b/internal/daemon/core.go
@@ -14,6 +14,7 @@
 	"github.com/lycheehead/lycheehead/internal/peerquic"
 	"github.com/lycheehead/lycheehead/internal/schema"
 	"github.com/lycheehead/lycheehead/internal/stop"
+	"github.com/lycheehead/lycheehead/pkg/backend"
 	"github.com/lycheehead/lycheehead/pkg/peer"
 	"github.com/lycheehead/lycheehead/pkg/platform"
 	"github.com/lycheehead/lycheehead/pkg/workers"
@@ -34,6 +35,8 @@
 	mesh     *peerquic.Mesh
 	baseCtx  context.Context
 	stopping atomic.Bool
+	// quarantine refuses requests during which backend servers have crashed repeatedly.
+	quarantine *backend.Quarantine
 	// bodies refuses requests whose body is still arriving as a planned stop ends.
 	bodies *stop.Bodies
 	tasks  tasks
--- a/internal/daemon/crash_reporter.go
+++ b/internal/daemon/crash_reporter.go
@@ -28,10 +28,11 @@
 	return &crashReporter{core: c, reports: backend.NewCrashReports(), changed: make(chan struct{}, 1)}
 }
 
-// report begins to report a crash to daemons.
+// report records a crash and begins to report it to daemons.
 func (r *crashReporter) report(now time.Time, key backend.RequestKey, daemons []string) {
 	// Random ids differ from those of the daemon's earlier processes. 0 means that there is none.
 	id := max(mrand.Uint64(), 1) //nolint:gosec // not for secrets
+	r.quarantine.RecordReport(now, r.self.Name(), id, key, 0)
 	r.recordUndelivered(r.reports.Add(now, backend.NewCrashReport(id, key, now), daemons), "too many")
 	r.wake()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"runtime"
 	"time"
@@ -99,6 +100,8 @@
 		baseCtx:  baseCtx,
 		tasks:    tasks{group: workers.NewGroup()},
 		bodies:   stop.NewBodies(),
+		//nolint:gosec // no secret
+		quarantine: backend.NewQuarantine().WithStagger(rand.Float64()),
 	}
 	d := &Daemon{
 		core:    c,
--- a/internal/daemon/egress.go
+++ b/internal/daemon/egress.go
@@ -65,12 +65,10 @@
 // egress admits work to the daemon's own backend server and sends it there.
 type egress struct {
 	*core
-	feed *feed
-	gate gate
-	// quarantine refuses requests during which backend servers have crashed repeatedly.
-	quarantine *backend.Quarantine
-	reporter   *crashReporter
-	client     *backendhttp.Client
+	feed     *feed
+	gate     gate
+	reporter *crashReporter
+	client   *backendhttp.Client
 	// calls maps the tokens of running requests to their contexts.
 	calls *table.Table[string, caller.Context]
 	// instanceIDs holds the last identifier received in instanceHeader. Its only key is
@@ -83,7 +81,6 @@
 		core:        c,
 		feed:        f,
 		gate:        g,
-		quarantine:  backend.NewQuarantine(),
 		reporter:    newCrashReporter(c),
 		calls:       table.New[string, caller.Context](lock.Calls),
 		instanceIDs: table.New[string, string](lock.Calls),
@@ -203,7 +200,7 @@
 	if b, ok := cfg.Backend(e.self.Name()); !ok || b.Service() != w.service {
 		return admission{refusal: caller.ReasonOutOfService}
 	}
-	if e.quarantine.Quarantined(now, requestKey(w)) {
+	if !e.quarantine.Admit(now, requestKey(w)) {
 		return admission{refusal: caller.ReasonQuarantined}
 	}
 	t, state := e.gate.Submit(now, w.context.Customer(), w.weight, w.context.Deadline())
@@ -368,7 +365,6 @@
 // it to the other daemons of the service, which may receive the same request next.
 func (e *egress) recordCrash(now time.Time, w *work) {
 	e.log.Warn("backend server died", "customer", w.context.Customer(), "route", w.route, "fingerprint", w.fingerprint)
-	e.quarantine.RecordCrash(now, requestKey(w))
 	var others []string
 	for _, b := range e.config().BackendsOf(w.service) {
 		if b.Name() != e.self.Name() {
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -99,7 +99,12 @@
 	if d.replicator.isBehind(g) {
 		d.core.tasks.start(func() { d.replicator.pull(from) })
 	}
-	return schema.Answer_builder{Gossip: d.replicator.gossipMessage(now, g.GetMembers())}.Build()
+	answer := d.replicator.gossipMessage(now, g.GetMembers())
+	if reports, digest := d.core.quarantine.Shared(now); g.GetQuarantine() != digest {
+		// The sender may have started since they were reported, or have missed a report.
+		answer.SetCrashed(encodeCrashes(now, reports))
+	}
+	return schema.Answer_builder{Gossip: answer}.Build()
 }
 
 func (d *Daemon) handleBorrow(now time.Time, b *schema.Borrow) *schema.Answer {
@@ -131,7 +136,7 @@
 // handleCrash counts a crash report unless it is a repeated one.
 func (d *Daemon) handleCrash(now time.Time, from string, m *schema.Death) {
 	key := backend.NewRequestKey(m.GetCustomer(), m.GetFingerprint())
-	counted := d.egress.quarantine.RecordReport(now, from, m.GetId(), key, m.GetAge().AsDuration())
+	counted := d.core.quarantine.RecordReport(now, from, m.GetId(), key, m.GetAge().AsDuration())
 	d.core.log.Info("crash report received", "from", from, "customer", key.Customer(), "fingerprint", key.Fingerprint(),
 		"age", m.GetAge().AsDuration().String(), "counted", counted)
 }
--- a/internal/daemon/replicator.go
+++ b/internal/daemon/replicator.go
@@ -79,10 +79,11 @@
 	nLocal, nRemote := min(startupLocalPeers, len(local)), min(startupRemotePeers, len(remote))
 	names := slices.Concat(local[:nLocal], remote[:nRemote])
 	r.feed.startup.AddPeers(names, slices.Concat(local[nLocal:], remote[nRemote:]))
-	if r.feed.everyDaemonReads() {
-		return
-	}
 	for _, name := range names {
+		if r.feed.everyDaemonReads() {
+			r.tasks.start(func() { r.gossipWith(name) })
+			continue
+		}
 		r.tasks.start(func() { r.pullUntilAnswered(name) })
 	}
 }
@@ -102,6 +103,8 @@
 			return
 		}
 	}
+	// An earlier process may have known of crashes.
+	r.gossipWith(name)
 }
 
 // pull requests a daemon's version and applies it if it is newer. It returns whether
@@ -287,6 +290,8 @@
 		Settled:   proto.Bool(r.feed.ready(now)),
 		Clear:     proto.Bool(r.acknowledged()),
 	}.Build()
+	_, quarantine := r.quarantine.Shared(now)
+	g.SetQuarantine(quarantine)
 	if age, ok := r.feed.confirmedAge(now); ok {
 		g.SetConfirmed(durationpb.New(age))
 	}
@@ -300,12 +305,21 @@
 	}
 	r.members.Merge(decodeInstances(g.GetInstances()))
 	r.onPeerVersion(now, name, g.GetVersion(), g.GetClear())
+	r.mergeCrashes(now, name, g.GetCrashed())
 	sameVersion := platform.DigestFromBytes(g.GetDigest()) == r.store.Version().Digest()
 	if g.HasConfirmed() && sameVersion {
 		r.feed.confirm(now.Add(-g.GetConfirmed().AsDuration()))
 	}
 }
 
+// mergeCrashes merges the crashes that another daemon exchanges.
+func (r *replicator) mergeCrashes(now time.Time, from string, list []*schema.Death) {
+	for _, c := range r.quarantine.Merge(now, decodeCrashes(now, list)) {
+		r.log.Info("crash report received", "from", from, "customer", c.Key().Customer(), "fingerprint", c.Key().Fingerprint(),
+			"age", now.Sub(c.At()).String(), "answered", c.Answered(), "counted", true)
+	}
+}
+
 // isBehind reports whether the sender of a message holds a newer version.
 func (r *replicator) isBehind(g *schema.Gossip) bool {
 	peerVersion := platform.NewVersion(g.GetVersion(), platform.DigestFromBytes(g.GetDigest()))
